--- /dev/null
+++ b/lilacdyke/__init__.py
@@ -0,0 +1,1 @@
+"""lilacdyke: a router for fleets of cache servers."""
--- /dev/null
+++ b/lilacdyke/logic.py
@@ -0,0 +1,665 @@
+"""All decisions of a lilacdyke node: which cache a transaction goes to, when a copy follows, when to give up.
+
+How to call it. One Router an instance, built from the site's terms, a seed and the node's rank. Inputs
+(list_changed, list_replaced, list_remembered, list_failed, take, hop_started, hop_ended, client_gone,
+woken, probe_ended, peer_said) take the present time and only update what is known. After them the host
+pulls `decide(now)` until it gives None; each decision is a tuple led by a verb:
+    ('send', hop, patience)   start this hop, to hop.server, timed out after patience (None: at the limit)
+    ('cancel', hop)           stop waiting for this hop
+    ('roll_back', tx, after)  final answer: trying again is harmless, best after so long (0: no hint)
+    ('abandon', tx)           final answer: nothing is promised
+    ('watch',)                ask for the list's changes; ('wake', when) call woken() then
+    ('probe', server) and ('log', text)
+The host passes the first committed answer on by itself. Times are whole tenths of a millisecond.
+"""
+
+from collections import deque
+from heapq import heappop, heappush
+from math import log
+from random import Random
+from zlib import crc32
+
+from .terms import IDEMPOTENT, JOURNALLED
+
+NEVER_RAN = ('refused', 'unreachable', 'unsent', 'missing')   # endings that prove a hop never ran
+FLOOR = 1 / 32          # a set-aside server's trickle, as a share of what would be its own
+DOUBT = 4               # unanswered hops in a row that set a server aside
+RACES, LOOKUPS = 16, 32  # the paper's windows
+OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
+COPY_SHARE = 0.25       # copies, as a share of the reads taken
+MASK = (1 << 64) - 1
+
+
+def mix(value):
+    """A 64-bit finalizer, the same in every process: neighbouring inputs give unrelated outputs."""
+    value = (value + 0x9E3779B97F4A7C15) & MASK
+    value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9 & MASK
+    value = (value ^ (value >> 27)) * 0x94D049BB133111EB & MASK
+    return value ^ (value >> 31)
+
+
+class Histogram:
+    """Times in a few coarse bins, half an octave each, halved once in a while so that the old fades."""
+
+    __slots__ = ('square', 'bins', 'total', 'unit')
+    BINS, KEPT = 18, 128
+
+    def __init__(self, unit):
+        self.unit = max(1, unit)
+        self.square = self.unit ** 2
+        self.bins = [0] * self.BINS
+        self.total = 0
+
+    def add(self, value):
+        self.bins[min(self.BINS - 1, (value * value // self.square).bit_length())] += 1
+        self.total += 1
+        if self.total >= self.KEPT:
+            self.bins = [count >> 1 for count in self.bins]
+            self.total = sum(self.bins)
+
+    def edge(self, index):
+        """The lower edge of a bin."""
+        return self.unit * 2 ** ((index - 1) / 2) if index else 0
+
+    def quantile(self, part):
+        """The value that a part of the times stay under, read between the bin's edges."""
+        left = part * self.total
+        for index, count in enumerate(self.bins):
+            if count and left <= count:
+                low, high = self.edge(index), self.edge(index + 1)
+                return int(low + (high - low) * left / count)
+            left -= count
+        return int(self.edge(self.BINS))
+
+    def spread(self):
+        """Mean and standard deviation, each bin counted at its middle."""
+        if not self.total:
+            return 0, 0
+        middles = [(self.edge(i) + self.edge(i + 1)) / 2 for i in range(self.BINS)]
+        mean = sum(n * m for n, m in zip(self.bins, middles)) / self.total
+        square = sum(n * (m - mean) ** 2 for n, m in zip(self.bins, middles)) / self.total
+        return int(mean), int(square ** 0.5)
+
+
+class Meter:
+    """How much went out lately: counts over the present and the last slice of a window."""
+
+    __slots__ = ('window', 'slice', 'now', 'last')
+
+    def __init__(self, window):
+        self.window, self.slice, self.now, self.last = max(1, window), 0, 0, 0
+
+    def roll(self, now):
+        index = now // self.window
+        if index != self.slice:
+            self.last = self.now if index == self.slice + 1 else 0
+            self.now, self.slice = 0, index
+
+    def add(self, now):
+        self.roll(now)
+        self.now += 1
+
+    def count(self, now):
+        """At least what went out within any one window that ends now."""
+        self.roll(now)
+        return self.now + self.last
+
+
+class Pace:
+    """When a copy follows a first hop to one cache: the paper's three rules."""
+
+    __slots__ = ('answers', 'copies', 'races', 'alone', 'swift')
+
+    def __init__(self, unit):
+        self.answers = Histogram(unit)      # latency of this cache's answers as a first cache
+        self.copies = Histogram(unit)       # latency of copies that won against it
+        self.races = deque(maxlen=RACES)    # whether the copy won, for the latest lookups with a copy
+        self.alone = 0                      # lookups since the last copy
+        self.swift = None                   # None: base; 0: at once; 1: mean copy latency and a deviation
+
+    def delay(self, start, most):
+        """The wait before the first copy of the next lookup."""
+        self.alone += 1
+        if self.alone > LOOKUPS:
+            self.swift = None
+        if self.swift == 0:
+            self.swift = 1
+            return 0
+        if self.swift == 1:
+            return min(most, sum(self.copies.spread()))
+        if self.answers.total < RACES:
+            return start
+        return min(most, 3 * self.answers.quantile(0.95) // 2)
+
+    def raced(self, won, latency):
+        """A lookup with a copy was answered; won: by the copy."""
+        self.races.append(won)
+        if won:
+            self.copies.add(latency)
+        if sum(self.races) > RACES // 2:
+            self.swift = 0
+            self.races.clear()
+
+
+class Server:
+    """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
+
+    __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
+                 'doubt', 'raised', 'pace', 'sent')
+
+    def __init__(self, name, origin):
+        self.name, self.origin = name, origin
+        self.mark = crc32(name.encode()) << 32
+        self.state, self.weight, self.started, self.zone, self.cell = 'gone', 1, None, 0, 0
+        self.out = 0            # hops of this node that wait there
+        self.share = 1          # part of its own keys' reads that it gets; under 1 while set aside
+        self.doubt = 0          # hops unanswered in a row
+        self.raised = 0         # when its share was last raised
+        self.pace = self.sent = None
+
+
+class Hop:
+    """One attempt of a transaction at a server."""
+
+    __slots__ = ('tx', 'server', 'index', 'sent', 'out', 'copy', 'ran', 'dropped')
+
+    def __init__(self, tx, server, now, copy):
+        self.tx, self.server, self.sent, self.copy = tx, server, now, copy
+        self.index = len(tx.hops)
+        self.out, self.ran, self.dropped = True, True, False    # ran: may have
+
+
+class Tx:
+    """A transaction that this node has taken."""
+
+    __slots__ = ('ref', 'profile', 'tenant', 'key', 'mark', 'taken', 'limit', 'write', 'hops', 'out', 'done',
+                 'rank', 'next', 'delay', 'missed', 'held', 'again', 'excess', 'copied', 'queued')
+
+    def __init__(self, profile, tenant, key, mark, now, limit, write):
+        self.ref = None         # the host's own mark
+        self.profile, self.tenant, self.key, self.mark = profile, tenant, key, mark
+        self.taken, self.limit, self.write = now, limit, write
+        self.hops, self.out, self.done = [], 0, False
+        self.rank = None        # caches by rendezvous rank, once needed
+        self.next, self.delay = None, 0     # when something more may be sent; the present copy delay
+        self.missed = None      # the first cache that lacked the key
+        self.held = False       # waits for another's fetch, or for a place to fetch
+        self.again = None       # the cache to ask again after another's fetch
+        self.excess, self.copied, self.queued = False, False, False
+
+
+class Tenancy:
+    """One tenant's share at this node, as a bucket that fills with the quota."""
+
+    __slots__ = ('rate', 'level', 'at')
+
+    def __init__(self, per_second):
+        self.rate, self.level, self.at = per_second / 10_000, per_second, None
+
+    def over(self, now):
+        """Count one transaction; whether it is beyond the share."""
+        if self.at is not None:
+            self.level = min(self.rate * 10_000, self.level + self.rate * (now - self.at))
+        self.at = now
+        if self.level < 1:
+            return True
+        self.level -= 1
+        return False
+
+
+class Router:
+    """One node's decisions. Inputs update it; decide() is pulled until it gives None."""
+
+    def __init__(self, terms, seed, rank):
+        self.terms, self.rank = terms, rank
+        self.chance = Random(seed).random
+        goals = [profile.goal for profile in terms.profiles]
+        self.goal = min(goals)
+        self.unit = max(1, self.goal // 32)
+        self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
+        self.caches, self.origin, self.known = [], None, {}
+        self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
+        self.logs = deque()
+        self.copies_left = 1.0
+        self.total_out = 0              # hops that wait at caches
+        self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
+        self.queue = deque()            # reads that wait for a place to fetch
+        self.bear, self.eased = float(2 * RACES), 0     # fetches out that the origin is seen to bear
+        self.fetches = Histogram(self.unit)
+        self.squeeze, self.judged = 0.0, 0      # how hard transactions are turned away; when last judged
+        self.good = self.bad = 0
+        self.watching, self.watch_at, self.failures = False, 0 if terms.watched else None, 0
+
+    # --- the list ---------------------------------------------------------------------------------------
+
+    def list_changed(self, now, entries):
+        """Changes to the list."""
+        self.list_came(now)
+        for entry in entries:
+            self.list_entry(now, *entry)
+        self.relist()
+
+    def list_replaced(self, now, entries):
+        """The whole list: what it lacks is gone."""
+        self.list_came(now)
+        named = {entry[0].name for entry in entries}
+        for server in self.known.values():
+            if server.name not in named:
+                server.state = 'gone'
+        for entry in entries:
+            self.list_entry(now, *entry)
+        self.relist()
+
+    def list_remembered(self, now, entries):
+        """What a node held before it was restarted: to be used until it is told better."""
+        for entry in entries:
+            self.list_entry(now, *entry)
+        self.relist()
+
+    def list_failed(self, now):
+        """A call failed or the watch broke. Ask again, ever later, so that a crowded list recovers; but soon
+        enough not to count as one that has not asked."""
+        self.watching = False
+        self.failures += 1
+        wait = min(self.terms.ask_within // 4, self.goal << min(self.failures, 8))
+        self.watch_at = now + int(wait * (0.5 + self.chance()))
+        self.alarm(self.watch_at, None)
+
+    def list_came(self, now):
+        if self.terms.watched:
+            self.watching, self.failures, self.watch_at = True, 0, None
+
+    def list_entry(self, now, server, state, weight, started, zone, cell):
+        if started != server.started or server.state == 'gone':
+            # A restart under the same id is a fresh, cold server: what was known of the old one is void.
+            server.share, server.doubt, server.raised = 1, 0, now
+            server.pace, server.sent = Pace(self.unit), Meter(self.terms.fall_window)
+        server.state, server.weight, server.started = state, weight, started
+        server.zone, server.cell = zone, cell
+        self.known[server.name] = server
+
+    def relist(self):
+        ready = [server for server in self.known.values() if server.state == 'ready']
+        self.caches = sorted((s for s in ready if not s.origin), key=lambda s: s.name)
+        self.origin = next((s for s in ready if s.origin), None)
+        self.total_out = sum(s.out for s in self.caches)
+
+    # --- transactions -----------------------------------------------------------------------------------
+
+    def take(self, now, row, tenant, key, limit, write):
+        """A transaction arrives; one final answer is owed from here on."""
+        mark = crc32(key.encode()) if key is not None else int(self.chance() * (1 << 32))
+        tx = Tx(self.terms.profiles[row], tenant, key, mark, now, limit, write)
+        if self.tenancies:
+            tx.excess = self.tenancies[tenant].over(now)
+        if not write:
+            self.copies_left = min(RACES, self.copies_left + COPY_SHARE)
+        self.rouse(tx)
+        self.alarm(limit, tx)
+        return tx
+
+    def client_gone(self, now, tx):
+        """Nothing more is owed."""
+        self.finish(now, tx)
+
+    def hop_started(self, now, hop):
+        """A streamed answer begins: the hop is the client's and the others are not needed."""
+        hop.dropped = True
+        hop.tx.done = True
+        self.finish(now, hop.tx)
+
+    def hop_ended(self, now, hop, how, lasted, final, note, report):
+        """A hop's one ending. final: the transaction has ended too, by this or before."""
+        tx, server = hop.tx, hop.server
+        hop.out = False
+        tx.out -= 1
+        server.out -= 1
+        if not server.origin and server.state == 'ready':
+            self.total_out -= 1
+        hop.ran = how not in NEVER_RAN
+        if how in ('committed', 'missing', 'error'):
+            self.answered(now, hop, lasted, how, note)
+        elif how in ('unreachable', 'lost', 'expired') or how == 'cancelled' and hop.dropped:
+            self.unanswered(now, server)
+        elif how == 'refused':
+            # A full server is crowded, not dead: it gets less until it answers again.
+            server.share = max(FLOOR, server.share / 2)
+            server.raised = now
+        if server.origin:
+            self.fetch_ended(now, hop, how, lasted)
+        if how == 'missing' and not server.origin:
+            tx.missed = tx.missed or server
+        if how == 'committed' and not tx.done:
+            late = now - tx.taken > tx.profile.goal // 2
+            self.judge(now, late)
+        if final:
+            self.finish(now, tx)
+        else:
+            self.rouse(tx)
+
+    def answered(self, now, hop, lasted, how, note):
+        """The server lives: its trickle doubles once a round trip, and its answer times the copies."""
+        server = hop.server
+        server.doubt = 0
+        if server.share < 1 and hop.sent >= server.raised:
+            server.share = min(1, server.share * 2)
+            server.raised = now
+        if server.origin or hop.tx.done:
+            return
+        first = hop.tx.hops[0]
+        if hop.index == 0 and (self.terms.aside or note != 1):
+            server.pace.answers.add(lasted)
+        if hop.tx.copied and (hop.copy or hop is first) and not first.server.origin:
+            first.server.pace.raced(hop.copy, lasted)
+            hop.tx.copied = False
+
+    def unanswered(self, now, server):
+        """Guards against servers that are dead, cut off, or take work and answer nothing."""
+        server.doubt += 1
+        if server.share < 1 or server.doubt >= DOUBT:
+            if server.share == 1:
+                self.logs.append('set aside: %s, %d hops unanswered; a trickle tries it' % (
+                    server.name, server.doubt))
+            server.share, server.raised = FLOOR, now
+
+    def finish(self, now, tx):
+        """The transaction has its final answer: whoever waited for its fetch must not wait in vain."""
+        tx.done = True
+        if self.fetching.get(tx.key) is tx:
+            self.release(tx.key)
+        self.rouse(tx)
+
+    def judge(self, now, late):
+        """Turn away more while many answers come late, less while few do."""
+        if late:
+            self.bad += 1
+        else:
+            self.good += 1
+        if now - self.judged < self.goal:
+            return
+        part = self.bad / (self.good + self.bad)
+        top = 2.0
+        if part > 0.3:
+            self.squeeze = min(top, self.squeeze + 0.25)
+        elif part < 0.15:
+            self.squeeze = max(0.0, self.squeeze - 0.1)
+        self.judged, self.good, self.bad = now, 0, 0
+
+    # --- the origin's fetches ---------------------------------------------------------------------------
+
+    def fetch_ended(self, now, hop, how, lasted):
+        """What the origin bears: a little more after quick answers, less once a while after slow ones."""
+        tx = hop.tx
+        if how == 'committed':
+            self.fetches.add(lasted)
+        if how == 'committed' and lasted < self.goal // 2:
+            self.bear += 1 / self.bear
+        elif how != 'unsent' and not (how == 'cancelled' and lasted < self.goal) and hop.sent >= self.eased:
+            self.bear = max(2.0, self.bear * 0.75)
+            self.eased = now
+        if self.fetching.get(tx.key) is tx:
+            self.release(tx.key)
+        while self.queue and self.origin and self.origin.out < self.bear:
+            waiting = self.queue.popleft()
+            if waiting.queued and not waiting.done:
+                waiting.queued = waiting.held = False
+                self.rouse(waiting)
+                break
+
+    def release(self, key):
+        """A fetch is over: those who waited ask their cache again."""
+        del self.fetching[key]
+        for tx in self.followers.pop(key, ()):
+            if not tx.done:
+                tx.held, tx.again = False, tx.missed
+                self.rouse(tx)
+
+    # --- other inputs -----------------------------------------------------------------------------------
+
+    def woken(self, now):
+        """A wake-up that was asked for."""
+        if self.asked is not None and now >= self.asked:
+            self.asked = None
+
+    def probe_ended(self, now, server, answered, lasted, report):
+        """A probe's result."""
+
+    def peer_said(self, now, author, body):
+        """A message from another node: none are sent, so none are understood."""
+
+    # --- deciding ---------------------------------------------------------------------------------------
+
+    def rouse(self, tx):
+        """Look at this transaction at the next pull."""
+        self.ready.append(tx)
+
+    def alarm(self, when, tx):
+        """Look at it (None: at the list) at that time."""
+        self.turn += 1
+        heappush(self.alarms, (when, self.turn, tx))
+
+    def decide(self, now):
+        """The next decision, or None when there is none left."""
+        if self.logs:
+            return 'log', self.logs.popleft()
+        while self.alarms and self.alarms[0][0] <= now:
+            tx = heappop(self.alarms)[2]
+            if tx is not None and (not tx.done or tx.out):
+                self.rouse(tx)
+        if self.watch_at is not None and now >= self.watch_at:
+            # Ask again should no answer come at all, before this counts as not asked.
+            self.watch_at = now + self.terms.ask_within // 2
+            self.alarm(self.watch_at, None)
+            return ('watch',)
+        while self.ready:
+            decision = self.step(now, self.ready[0])
+            if decision:
+                return decision
+            self.ready.popleft()
+        if self.alarms and (self.asked is None or self.alarms[0][0] < self.asked):
+            self.asked = self.alarms[0][0]
+            return 'wake', self.asked
+        return None
+
+    def step(self, now, tx):
+        """What this transaction needs now, if anything."""
+        if tx.done:
+            return self.cancel(tx)
+        if now >= tx.limit:
+            return self.give_up(now, tx) if not tx.out else None
+        if tx.held:
+            return self.give_up(now, tx) if now >= self.patience(tx) else None
+        if not tx.hops and self.turned_away(tx):
+            return self.give_up(now, tx)
+        if tx.out:
+            return self.step_waiting(now, tx)
+        if tx.write or tx.profile.effect != IDEMPOTENT:
+            return self.step_once(now, tx)
+        if tx.missed and not tx.again:
+            return self.step_fetch(now, tx)
+        return self.step_read(now, tx, False)
+
+    def patience(self, tx):
+        """Until when a transaction may be held with nothing sent."""
+        return min(tx.limit, tx.taken + tx.profile.goal)
+
+    def turned_away(self, tx):
+        """Under pressure the excess of tenants goes first, then everyone by chance."""
+        if tx.excess:
+            return self.chance() < self.squeeze
+        return self.squeeze > 1 and self.chance() < (self.squeeze - 1) * 0.5
+
+    def cancel(self, tx):
+        """The loser of a race, or a hop whose client has gone, is not waited for."""
+        if self.terms.may_cancel and tx.out:
+            for hop in tx.hops:
+                if hop.out and not hop.dropped and not self.useful(hop):
+                    hop.dropped = True
+                    return 'cancel', hop
+        return None
+
+    def useful(self, hop):
+        """A fetch's object is kept where it was missed only while somebody waits: none does."""
+        return False
+
+    def step_waiting(self, now, tx):
+        """A hop is out: send a copy once the delay has passed, or fetch if another cache missed already."""
+        if tx.next is None or now < tx.next or not self.may_copy(tx):
+            return None
+        if tx.missed:
+            return self.step_fetch(now, tx)
+        if self.copies_left < 1:
+            return None
+        decision = self.step_read(now, tx, True)
+        if decision:
+            self.copies_left -= 1
+            tx.copied = True
+        return decision
+
+    def may_copy(self, tx):
+        """Only idempotent reads are ever out twice."""
+        return self.terms.may_copy and tx.profile.effect == IDEMPOTENT and not tx.write
+
+    def step_read(self, now, tx, copy):
+        """Send to the best-ranked cache not yet tried; a copy's absence is no reason to give up."""
+        server = tx.again or self.pick(now, tx)
+        tx.again = None
+        decision = None
+        spare = 1 if self.terms.aside else 0        # a miss needs one more hop, to the origin
+        if server and len(tx.hops) < self.terms.max_hops - spare:
+            decision = self.send(now, tx, server, copy)
+        if not decision:
+            tx.next = None
+            return None if copy else self.give_up(now, tx)
+        if copy:
+            tx.delay *= 2
+            server.pace.alone = server.pace.alone
+            tx.hops[0].server.pace.alone = 0
+        else:
+            tx.delay = server.pace.delay(tx.profile.goal // 4, tx.profile.goal // 2)
+        tx.next = now + max(tx.delay, 1)
+        if self.may_copy(tx):
+            self.alarm(tx.next, tx)
+            if not copy and tx.delay == 0:
+                tx.next = now
+                self.rouse(tx)
+        return decision
+
+    def step_once(self, now, tx):
+        """Writes and what must not run twice go once, and again only after proof that they did not run."""
+        if tx.next is not None and now < tx.next:
+            return None
+        server = self.origin if self.terms.aside and tx.write else self.pick(now, tx)
+        decision = server and self.send(now, tx, server, False)
+        return decision or self.give_up(now, tx)
+
+    def step_fetch(self, now, tx):
+        """Ask the origin for what a cache lacked: one fetch a key, and no more out than the origin bears."""
+        tx.next = None
+        leader = self.fetching.get(tx.key)
+        if leader is not None and leader is not tx and len(tx.hops) < self.terms.max_hops - 1:
+            self.followers.setdefault(tx.key, []).append(tx)
+            return self.hold(tx)
+        if not self.origin:
+            return self.give_up(now, tx)
+        if self.origin.out >= self.bear:
+            mean = self.fetches.spread()[0] or self.goal // 4
+            if now + mean * (1 + (len(self.queue) + 1) / self.bear) > self.patience(tx):
+                return self.give_up(now, tx)
+            self.queue.append(tx)
+            tx.queued = True
+            return self.hold(tx)
+        decision = self.send(now, tx, self.origin, False)
+        if not decision:
+            return self.give_up(now, tx)
+        if tx.key is not None and leader is None:
+            self.fetching[tx.key] = tx
+        return decision
+
+    def hold(self, tx):
+        """Wait, with nothing sent, for another's fetch or a place at the origin."""
+        tx.held = True
+        self.alarm(self.patience(tx), tx)
+
+    def pick(self, now, tx):
+        """The best-ranked cache not yet tried, passing over those far busier than the mean or set aside."""
+        if not self.caches:
+            return None
+        tried = [hop.server for hop in tx.hops]
+        busy = OVER * self.total_out / len(self.caches) + MARGIN
+        left = [s for s in self.ranked(now, tx) if s.state == 'ready' and s not in tried]
+        for server in left:
+            if server.out <= busy and (server.share >= 1 or self.chance() < server.share):
+                if self.cold_room(now, server):
+                    return server
+        left = [s for s in left if self.cold_room(now, s)]
+        return min(left, key=lambda s: (s.share < 1, s.out)) if left else None
+
+    def ranked(self, now, tx):
+        """Weighted rendezvous: size and age set how many keys a cache wins; others' keys do not move."""
+        if tx.rank is None:
+            scored = [(self.presence(now, s) * s.weight / -log((mix(s.mark ^ tx.mark) + 1) / (MASK + 2)), s.name, s)
+                      for s in self.caches]
+            scored.sort(reverse=True)
+            tx.rank = [row[2] for row in scored]
+        return tx.rank
+
+    def presence(self, now, server):
+        """How much a server counts by its age: what a cold one is sure to be able to do, and no more."""
+        if server.started is None or now - server.started >= self.terms.warm_up:
+            return 1
+        return max(self.terms.cold_from / 2, (now - server.started) / self.terms.warm_up)
+
+    # --- the gate ---------------------------------------------------------------------------------------
+
+    def cold_room(self, now, server):
+        """Whether one more may go to a server that may be cold: this node's sends there, against those to
+        warm caches of its size, stay under half of the multiple that all nodes must stay under."""
+        part = self.presence(now, server)
+        if part == 1 or server.origin:
+            return True
+        warm = [s for s in self.caches if self.presence(now, s) == 1]
+        weight = sum(s.weight for s in warm)
+        usual = sum(s.sent.count(now) for s in warm) / weight * server.weight / 2 if weight else 0
+        return server.sent.count(now) < max(1, usual * part * self.terms.fall_multiple / 2)
+
+    def permitted(self, now, tx, server):
+        """The four rules, for one more hop of this transaction to this server."""
+        if tx.done or now >= tx.limit or len(tx.hops) >= self.terms.max_hops or server.state != 'ready':
+            return False
+        if not self.cold_room(now, server) or tx.out and not self.may_copy(tx):
+            return False
+        ran = [hop for hop in tx.hops if hop.ran]
+        if not ran or tx.profile.effect == IDEMPOTENT:
+            return True
+        if tx.profile.effect != JOURNALLED or now >= ran[0].sent + tx.profile.window - self.terms.tick:
+            return False
+        return all(self.grouped(tx.profile.group, hop.server, server) for hop in ran)
+
+    @staticmethod
+    def grouped(group, one, other):
+        """Whether two servers drop each other's repeats."""
+        return group == 'all' or (one.zone == other.zone if group == 'zone' else one.cell == other.cell)
+
+    def send(self, now, tx, server, copy):
+        """The one place that sends."""
+        if not self.permitted(now, tx, server):
+            return None
+        hop = Hop(tx, server, now, copy)
+        tx.hops.append(hop)
+        tx.out += 1
+        server.out += 1
+        server.sent.add(now)
+        if not server.origin:
+            self.total_out += 1
+        return 'send', hop, None
+
+    def give_up(self, now, tx):
+        """The one place that gives a final answer: a roll-back where trying again is harmless."""
+        effect = tx.profile.effect
+        ran = [hop for hop in tx.hops if hop.ran]
+        safe = not ran or effect == IDEMPOTENT or effect == JOURNALLED and tx.profile.group == 'all'
+        self.finish(now, tx)
+        if safe:
+            return 'roll_back', tx, min(self.terms.max_return, self.goal)
+        return 'abandon', tx
