--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -145,7 +145,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'sent')
+                 'doubt', 'raised', 'pace', 'sent', 'served')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -155,7 +155,7 @@
         self.share = 1          # part of its own keys' reads that it gets; under 1 while set aside
         self.doubt = 0          # hops unanswered in a row
         self.raised = 0         # when its share was last raised
-        self.pace = self.sent = None
+        self.pace = self.sent = self.served = None     # served: committed answers lately
 
 
 class Hop:
@@ -273,7 +273,8 @@
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised = 1, 0, now
-            server.pace, server.sent = Pace(self.unit), Meter(self.terms.fall_window)
+            server.pace = Pace(self.unit)
+            server.sent, server.served = Meter(self.terms.fall_window), Meter(self.terms.fall_window)
         server.state, server.weight, server.started = state, weight, started
         server.zone, server.cell = zone, cell
         self.known[server.name] = server
@@ -341,6 +342,8 @@
         """The server lives: its trickle doubles once a round trip, and its answer times the copies."""
         server = hop.server
         server.doubt = 0
+        if how == 'committed':
+            server.served.add(now)
         if server.share < 1 and hop.sent >= server.raised:
             server.share = min(1, server.share * 2)
             server.raised = now
@@ -613,14 +616,15 @@
     # --- the gate ---------------------------------------------------------------------------------------
 
     def cold_room(self, now, server):
-        """Whether one more may go to a server that may be cold: this node's sends there, against those to
-        warm caches of its size, stay under half of the multiple that all nodes must stay under."""
+        """Whether one more may go to a server that may be cold: this node's sends there, against what it
+        sees warm caches of that size serve, stay under half of the multiple that all nodes must stay under.
+        Not against sends: in an overload those are retries that nobody could bear."""
         part = self.presence(now, server)
         if part == 1 or server.origin:
             return True
         warm = [s for s in self.caches if self.presence(now, s) == 1]
         weight = sum(s.weight for s in warm)
-        usual = sum(s.sent.count(now) for s in warm) / weight * server.weight / 2 if weight else 0
+        usual = sum(s.served.count(now) for s in warm) / weight * server.weight / 2 if weight else 0
         return server.sent.count(now) < max(1, usual * part * self.terms.fall_multiple / 2)
 
     def permitted(self, now, tx, server):
