What a server is seen to bear bounds this node's in-flight there

Cause: overload jams every cache, answers come after the goal; a chance-based squeeze reacted too late. Now additive growth on quick answers, a quarter off on slow ones, tenants' excess first.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -26,6 +26,7 @@
 DOUBT = 4               # unanswered hops in a row that set a server aside
 RACES, LOOKUPS = 16, 32  # the paper's windows
 OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
+START = 32.0            # hops out at one server before anything is known of it
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
 MASK = (1 << 64) - 1
 
@@ -145,7 +146,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'sent', 'served')
+                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -155,6 +156,7 @@
         self.share = 1          # part of its own keys' reads that it gets; under 1 while set aside
         self.doubt = 0          # hops unanswered in a row
         self.raised = 0         # when its share was last raised
+        self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
         self.pace = self.sent = self.served = None     # served: committed answers lately
 
 
@@ -224,10 +226,7 @@
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
-        self.bear, self.eased = float(2 * RACES), 0     # fetches out that the origin is seen to bear
         self.fetches = Histogram(self.unit)
-        self.squeeze, self.judged = 0.0, 0      # how hard transactions are turned away; when last judged
-        self.good = self.bad = 0
         self.watching, self.watch_at, self.failures = False, 0 if terms.watched else None, 0
 
     # --- the list ---------------------------------------------------------------------------------------
@@ -273,6 +272,7 @@
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised = 1, 0, now
+            server.bear, server.eased = START, now
             server.pace = Pace(self.unit)
             server.sent, server.served = Meter(self.terms.fall_window), Meter(self.terms.fall_window)
         server.state, server.weight, server.started = state, weight, started
@@ -326,13 +326,11 @@
             # A full server is crowded, not dead: it gets less until it answers again.
             server.share = max(FLOOR, server.share / 2)
             server.raised = now
+        self.weigh(now, hop, how, lasted)
         if server.origin:
             self.fetch_ended(now, hop, how, lasted)
         if how == 'missing' and not server.origin:
             tx.missed = tx.missed or server
-        if how == 'committed' and not tx.done:
-            late = now - tx.taken > tx.profile.goal // 2
-            self.judge(now, late)
         if final:
             self.finish(now, tx)
         else:
@@ -356,6 +354,17 @@
             first.server.pace.raced(hop.copy, lasted)
             hop.tx.copied = False
 
+    def weigh(self, now, hop, how, lasted):
+        """Guards against a server given more than it can do: what it bears grows by one a round of quick
+        answers and shrinks by a quarter, once a round, when an answer takes over half of the goal."""
+        server, most = hop.server, hop.tx.profile.goal // 2
+        if lasted < most and how in ('committed', 'missing', 'error'):
+            if server.out + 1 >= server.bear / 2:
+                server.bear += 1 / server.bear
+        elif (lasted >= most or how in ('refused', 'lost')) and hop.sent >= server.eased and how != 'unsent':
+            server.bear = max(1.0, min(server.bear, server.out + 1) * 0.75)
+            server.eased = now
+
     def unanswered(self, now, server):
         """Guards against servers that are dead, cut off, or take work and answer nothing."""
         server.doubt += 1
@@ -372,37 +381,16 @@
             self.release(tx.key)
         self.rouse(tx)
 
-    def judge(self, now, late):
-        """Turn away more while many answers come late, less while few do."""
-        if late:
-            self.bad += 1
-        else:
-            self.good += 1
-        if now - self.judged < self.goal:
-            return
-        part = self.bad / (self.good + self.bad)
-        top = 2.0
-        if part > 0.3:
-            self.squeeze = min(top, self.squeeze + 0.25)
-        elif part < 0.15:
-            self.squeeze = max(0.0, self.squeeze - 0.1)
-        self.judged, self.good, self.bad = now, 0, 0
-
     # --- the origin's fetches ---------------------------------------------------------------------------
 
     def fetch_ended(self, now, hop, how, lasted):
-        """What the origin bears: a little more after quick answers, less once a while after slow ones."""
+        """The place at the origin is free for the next that waits."""
         tx = hop.tx
         if how == 'committed':
             self.fetches.add(lasted)
-        if how == 'committed' and lasted < self.goal // 2:
-            self.bear += 1 / self.bear
-        elif how != 'unsent' and not (how == 'cancelled' and lasted < self.goal) and hop.sent >= self.eased:
-            self.bear = max(2.0, self.bear * 0.75)
-            self.eased = now
         if self.fetching.get(tx.key) is tx:
             self.release(tx.key)
-        while self.queue and self.origin and self.origin.out < self.bear:
+        while self.queue and self.origin and self.origin.out < self.origin.bear:
             waiting = self.queue.popleft()
             if waiting.queued and not waiting.done:
                 waiting.queued = waiting.held = False
@@ -487,10 +475,8 @@
         return min(tx.limit, tx.taken + tx.profile.goal)
 
     def turned_away(self, tx):
-        """Under pressure the excess of tenants goes first, then everyone by chance."""
-        if tx.excess:
-            return self.chance() < self.squeeze
-        return self.squeeze > 1 and self.chance() < (self.squeeze - 1) * 0.5
+        """The excess of tenants goes first: once more than half of what the caches bear is out."""
+        return tx.excess and self.total_out > sum(s.bear for s in self.caches) / 2
 
     def cancel(self, tx):
         """The loser of a race, or a hop whose client has gone, is not waited for."""
@@ -565,9 +551,9 @@
             return self.hold(tx)
         if not self.origin:
             return self.give_up(now, tx)
-        if self.origin.out >= self.bear:
+        if self.origin.out >= self.origin.bear:
             mean = self.fetches.spread()[0] or self.goal // 4
-            if now + mean * (1 + (len(self.queue) + 1) / self.bear) > self.patience(tx):
+            if now + mean * (1 + (len(self.queue) + 1) / self.origin.bear) > self.patience(tx):
                 return self.give_up(now, tx)
             self.queue.append(tx)
             tx.queued = True
@@ -591,11 +577,10 @@
         tried = [hop.server for hop in tx.hops]
         busy = OVER * self.total_out / len(self.caches) + MARGIN
         left = [s for s in self.ranked(now, tx) if s.state == 'ready' and s not in tried]
+        left = [s for s in left if (tx.write or s.out < s.bear) and self.cold_room(now, s)]
         for server in left:
             if server.out <= busy and (server.share >= 1 or self.chance() < server.share):
-                if self.cold_room(now, server):
-                    return server
-        left = [s for s in left if self.cold_room(now, s)]
+                return server
         return min(left, key=lambda s: (s.share < 1, s.out)) if left else None
 
     def ranked(self, now, tx):
