--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -223,6 +223,7 @@
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
         self.logs = deque()
         self.copies_left = 1.0
+        self.surveyed, self.usual, self.borne = None, 0, 0  # at that time: what warm caches serve, a weight; all bear
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
@@ -460,6 +461,7 @@
             return self.give_up(now, tx) if not tx.out else None
         if tx.held:
             return self.give_up(now, tx) if now >= self.patience(tx) else None
+        self.survey(now)
         if not tx.hops and self.turned_away(tx):
             return self.give_up(now, tx)
         if tx.out:
@@ -476,7 +478,7 @@
 
     def turned_away(self, tx):
         """The excess of tenants goes first: once more than half of what the caches bear is out."""
-        return tx.excess and self.total_out > sum(s.bear for s in self.caches) / 2
+        return tx.excess and self.total_out > self.borne / 2
 
     def cancel(self, tx):
         """The loser of a race, or a hop whose client has gone, is not waited for."""
@@ -576,12 +578,17 @@
             return None
         tried = [hop.server for hop in tx.hops]
         busy = OVER * self.total_out / len(self.caches) + MARGIN
-        left = [s for s in self.ranked(now, tx) if s.state == 'ready' and s not in tried]
-        left = [s for s in left if (tx.write or s.out < s.bear) and self.cold_room(now, s)]
-        for server in left:
+        spare = None
+        for server in self.ranked(now, tx):
+            if server in tried or not tx.write and server.out >= server.bear:
+                continue
+            if server.state != 'ready' or not self.cold_room(now, server):
+                continue
             if server.out <= busy and (server.share >= 1 or self.chance() < server.share):
                 return server
-        return min(left, key=lambda s: (s.share < 1, s.out)) if left else None
+            if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
+                spare = server
+        return spare
 
     def ranked(self, now, tx):
         """Weighted rendezvous: size and age set how many keys a cache wins; others' keys do not move."""
@@ -592,6 +599,16 @@
             tx.rank = [row[2] for row in scored]
         return tx.rank
 
+    def survey(self, now):
+        """Figures over all caches, worked out anew at most once a tick."""
+        if self.surveyed == now:
+            return
+        self.surveyed = now
+        warm = [s for s in self.caches if self.presence(now, s) == 1]
+        weight = sum(s.weight for s in warm)
+        self.usual = sum(s.served.count(now) for s in warm) / weight if weight else 0
+        self.borne = sum(s.bear for s in self.caches)
+
     def presence(self, now, server):
         """How much a server counts by its age: what a cold one is sure to be able to do, and no more."""
         if server.started is None or now - server.started >= self.terms.warm_up:
@@ -604,12 +621,13 @@
         """Whether one more may go to a server that may be cold: this node's sends there, against what it
         sees warm caches of that size serve, stay under half of the multiple that all nodes must stay under.
         Not against sends: in an overload those are retries that nobody could bear."""
+        if server.started is None or server.origin:
+            return True
         part = self.presence(now, server)
-        if part == 1 or server.origin:
+        if part == 1:
             return True
-        warm = [s for s in self.caches if self.presence(now, s) == 1]
-        weight = sum(s.weight for s in warm)
-        usual = sum(s.served.count(now) for s in warm) / weight * server.weight / 2 if weight else 0
+        self.survey(now)
+        usual = self.usual * server.weight / 2      # a meter counts over up to two windows
         return server.sent.count(now) < max(1, usual * part * self.terms.fall_multiple / 2)
 
     def permitted(self, now, tx, server):
