--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -457,7 +457,7 @@
         """What this transaction needs now, if anything."""
         if tx.done:
             return self.cancel(tx)
-        if now >= (self.patience(tx) if self.no_late(tx) else tx.limit):
+        if now >= tx.limit:
             return self.give_up(now, tx) if not tx.out else None
         if tx.held:
             return self.give_up(now, tx) if now >= self.patience(tx) else None
@@ -659,12 +659,7 @@
         server.sent.add(now)
         if not server.origin:
             self.total_out += 1
-        return 'send', hop, max(self.terms.tick, tx.taken + tx.profile.goal - now) if self.no_late(tx) else None
-
-    @staticmethod
-    def no_late(tx):
-        """Whether an answer after the goal is of no use, so that its work is better stopped there."""
-        return tx.profile.late_revenue == 0 and tx.profile.effect == IDEMPOTENT and not tx.write
+        return 'send', hop, None
 
     def give_up(self, now, tx):
         """The one place that gives a final answer: a roll-back where trying again is harmless."""
