Hops after an error come out of the copies' budget, which strain shrinks

Cause: in through mode an error is a fetch the origin could not do; trying the next cache fetched again, 3 hops a transaction.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -223,6 +223,7 @@
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
         self.logs = deque()
         self.copies_left = 1.0
+        self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
         self.surveyed, self.usual, self.borne = None, 0, 0  # at that time: what warm caches serve, a weight; all bear
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
@@ -295,7 +296,7 @@
         if self.tenancies:
             tx.excess = self.tenancies[tenant].over(now)
         if not write:
-            self.copies_left = min(RACES, self.copies_left + COPY_SHARE)
+            self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
         self.rouse(tx)
         self.alarm(limit, tx)
         return tx
@@ -359,6 +360,7 @@
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
         answers and shrinks by a quarter, once a round, when an answer takes over half of the goal."""
         server, most = hop.server, hop.tx.profile.goal // 2
+        self.count(lasted < most and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing', 'error'):
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
@@ -366,6 +368,20 @@
             server.bear = max(1.0, min(server.bear, server.out + 1) * 0.75)
             server.eased = now
 
+    def count(self, well, how):
+        """How hops end over all caches, halved once in a while."""
+        if well:
+            self.smooth += 1
+        elif how not in ('unsent', 'cancelled'):
+            self.poor += 1
+        if self.smooth + self.poor > Histogram.KEPT:
+            self.smooth, self.poor = self.smooth / 2, self.poor / 2
+
+    def strain(self):
+        """The share of hops that end late or badly. The paper's copies presume that slowness is rare and
+        uncorrelated: with half of the hops in trouble, more hops only add to it."""
+        return self.poor / (self.smooth + self.poor)
+
     def unanswered(self, now, server):
         """Guards against servers that are dead, cut off, or take work and answer nothing."""
         server.doubt += 1
@@ -513,6 +529,10 @@
 
     def step_read(self, now, tx, copy):
         """Send to the best-ranked cache not yet tried; a copy's absence is no reason to give up."""
+        further = tx.hops and not copy and tx.hops[-1].ran and not tx.again and not tx.missed
+        if further and self.copies_left < 1:
+            return self.give_up(now, tx)    # guards against a retry storm when many hops fail
+        self.copies_left -= 1 if further else 0
         server = tx.again or self.pick(now, tx)
         tx.again = None
         decision = None
