A cache that tells of a long wait is passed over

Cause: with one core a cache, twice the mean plus two from each node is already over a second of queue; the reports (queue over qps) tell so.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -26,6 +26,7 @@
 DOUBT = 4               # unanswered hops in a row that set a server aside
 RACES, LOOKUPS = 16, 32  # the paper's windows
 OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
+CROWD = 1 / 3           # passed over: one that tells of a wait over this part of the goal
 START = 32.0            # hops out at one server before anything is known of it
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
 MASK = (1 << 64) - 1
@@ -146,7 +147,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased')
+                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased', 'wait', 'told')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -157,6 +158,7 @@
         self.doubt = 0          # hops unanswered in a row
         self.raised = 0         # when its share was last raised
         self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
+        self.wait, self.told = 0, None      # the wait that its last report tells of, and when that came
         self.pace = self.sent = self.served = None     # served: committed answers lately
 
 
@@ -274,7 +276,7 @@
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised = 1, 0, now
-            server.bear, server.eased = START, now
+            server.bear, server.eased, server.wait, server.told = START, now, 0, None
             server.pace = Pace(self.unit)
             server.sent, server.served = Meter(self.terms.fall_window), Meter(self.terms.fall_window)
         server.state, server.weight, server.started = state, weight, started
@@ -329,6 +331,7 @@
             server.share = max(FLOOR, server.share / 2)
             server.raised = now
         self.weigh(now, hop, how, lasted)
+        self.reported(now, server, report)
         if server.origin:
             self.fetch_ended(now, hop, how, lasted)
         if how == 'missing' and not server.origin:
@@ -431,6 +434,16 @@
 
     def probe_ended(self, now, server, answered, lasted, report):
         """A probe's result."""
+        self.reported(now, server, report)
+
+    def reported(self, now, server, report):
+        """A load report: what waits there, over what it does in a second, is what a newcomer waits."""
+        if report and 'queue' in report and report.get('qps', 0) > 0:
+            server.wait, server.told = int(10_000 * max(0, report['queue']) / report['qps']), now
+
+    def crowded(self, now, server, part):
+        """Whether it told of a wait over a part of the goal, and not so long ago that it may be over."""
+        return server.told is not None and server.wait > part * self.goal and now - server.told < self.goal
 
     def peer_said(self, now, author, body):
         """A message from another node: none are sent, so none are understood."""
@@ -604,8 +617,11 @@
                 continue
             if server.state != 'ready' or not self.cold_room(now, server):
                 continue
-            if server.out <= busy and (server.share >= 1 or self.chance() < server.share):
+            crowded = self.crowded(now, server, CROWD)
+            if server.out <= busy and not crowded and (server.share >= 1 or self.chance() < server.share):
                 return server
+            if crowded and not tx.write and self.crowded(now, server, 1):
+                continue
             if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
                 spare = server
         return spare
