--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -606,24 +606,35 @@
         self.alarm(self.patience(tx), tx)
 
     def pick(self, now, tx):
-        """The best-ranked cache not yet tried, passing over those far busier than the mean or set aside."""
+        """The best-ranked cache not yet tried, passing over those far busier than the mean or set aside.
+
+        A read passed over is likely a miss where it lands, and the origin bears few of those: like a copy it
+        takes from the budget, and without budget it stays with its home or is turned away."""
         if not self.caches:
             return None
         tried = [hop.server for hop in tx.hops]
         busy = OVER * self.total_out / len(self.caches) + MARGIN
-        spare = None
+        home = spare = None
         for server in self.ranked(now, tx):
-            if server in tried or not tx.write and server.out >= server.bear:
-                continue
-            if server.state != 'ready' or not self.cold_room(now, server):
+            if server in tried or server.state != 'ready' or not self.cold_room(now, server):
                 continue
             crowded = self.crowded(now, server, CROWD)
-            if server.out <= busy and not crowded and (server.share >= 1 or self.chance() < server.share):
-                return server
-            if crowded and not tx.write and self.crowded(now, server, 1):
+            room = tx.write or server.out < server.bear
+            if server.share < 1 and self.chance() >= server.share:
+                spare = spare or (server if room else None)
                 continue
-            if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
-                spare = server
+            if room and server.out <= busy and not crowded:
+                if home and not tx.hops:
+                    self.copies_left -= 1
+                return server
+            if not home:
+                home = server
+                open_ = room and (tx.write or not self.crowded(now, server, 1))
+                if not tx.hops and self.copies_left < 1:
+                    return server if open_ else None
+            if room and (tx.write or not self.crowded(now, server, 1)):
+                if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
+                    spare = server
         return spare
 
     def ranked(self, now, tx):
