--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -224,7 +224,7 @@
         self.caches, self.origin, self.known = [], None, {}
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
         self.logs = deque()
-        self.copies_left = self.moves_left = 1.0
+        self.copies_left = 1.0
         self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
         self.surveyed, self.usual, self.borne = None, 0, 0  # at that time: what warm caches serve, a weight; all bear
         self.total_out = 0              # hops that wait at caches
@@ -299,7 +299,6 @@
             tx.excess = self.tenancies[tenant].over(now)
         if not write:
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
-            self.moves_left = min(RACES, self.moves_left + max(0, 1 - 4 * self.strain()))
         self.rouse(tx)
         self.alarm(limit, tx)
         return tx
@@ -364,8 +363,7 @@
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
         answers and shrinks by a quarter, once a round, when an answer takes over half of the goal."""
         server, most = hop.server, hop.tx.profile.goal // 2
-        if self.terms.aside == server.origin and not self.crowded(now, server, CROWD):
-            self.count(lasted < most and how in ('committed', 'missing'), how)
+        self.count(lasted < most and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing', 'error'):
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
@@ -627,12 +625,12 @@
                 continue
             if room and server.out <= busy and not crowded:
                 if home and not tx.hops:
-                    self.moves_left -= 1
+                    self.copies_left -= 1
                 return server
             if not home:
                 home = server
                 open_ = room and (tx.write or not self.crowded(now, server, 1))
-                if not tx.hops and self.moves_left < 1:
+                if not tx.hops and self.copies_left < 1:
                     return server if open_ else None
             if room and (tx.write or not self.crowded(now, server, 1)):
                 if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
