--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -147,7 +147,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased', 'wait', 'told')
+                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased', 'wait', 'told', 'rate')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -159,6 +159,7 @@
         self.raised = 0         # when its share was last raised
         self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
         self.wait, self.told = 0, None      # the wait that its last report tells of, and when that came
+        self.rate = 0                       # the best rate it told of lately, a second
         self.pace = self.sent = self.served = None     # served: committed answers lately
 
 
@@ -277,6 +278,7 @@
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised = 1, 0, now
             server.bear, server.eased, server.wait, server.told = START, now, 0, None
+            server.rate = 0
             server.pace = Pace(self.unit)
             server.sent, server.served = Meter(self.terms.fall_window), Meter(self.terms.fall_window)
         server.state, server.weight, server.started = state, weight, started
@@ -437,9 +439,15 @@
         self.reported(now, server, report)
 
     def reported(self, now, server, report):
-        """A load report: what waits there, over what it does in a second, is what a newcomer waits."""
-        if report and 'queue' in report and report.get('qps', 0) > 0:
-            server.wait, server.told = int(10_000 * max(0, report['queue']) / report['qps']), now
+        """A load report: what waits there, times what one takes, is what a newcomer waits. One takes no
+        longer than the quick quarter of answers, nor than at the best rate told of lately: the rate of an
+        idle server is that of its callers."""
+        if report and 'queue' in report and server.pace:
+            server.rate = max(report.get('qps', 0), 0.95 * server.rate)
+            each = server.pace.answers.quantile(0.25) if server.pace.answers.total else self.goal
+            if server.rate > 0:
+                each = min(each, 10_000 / server.rate)
+            server.wait, server.told = int(max(0, report['queue']) * each), now
 
     def crowded(self, now, server, part):
         """Whether it told of a wait over a part of the goal, and not so long ago that it may be over."""
