--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -227,7 +227,7 @@
         self.caches, self.origin, self.known = [], None, {}
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
         self.logs = deque()
-        self.copies_left = 1.0
+        self.copies_left = self.moves_left = 1.0
         self.surveyed, self.usual, self.borne, self.strain = None, 0, 0, 0  # at that time: what warm caches serve, a weight; all bear
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
@@ -302,6 +302,7 @@
             tx.excess = self.tenancies[tenant].over(now)
         if not write:
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain))
+            self.moves_left = min(RACES, self.moves_left + max(0, 1 - 2 * self.strain))
         self.rouse(tx)
         self.alarm(limit, tx)
         return tx
@@ -621,12 +622,12 @@
                 continue
             if room and server.out <= busy and not crowded:
                 if home and not tx.hops:
-                    self.copies_left -= 1
+                    self.moves_left -= 1
                 return server
             if not home:
                 home = server
                 open_ = room and (tx.write or not self.crowded(now, server, 1))
-                if not tx.hops and self.copies_left < 1:
+                if not tx.hops and self.moves_left < 1:
                     return server if open_ else None
             if room and (tx.write or not self.crowded(now, server, 1)):
                 if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
