--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -27,7 +27,6 @@
 RACES, LOOKUPS = 16, 32  # the paper's windows
 OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
 CROWD = 1 / 3           # passed over: one that tells of a wait over this part of the goal
-RECENT = 8              # hops that a server's share of late ones looks back on
 START = 32.0            # hops out at one server before anything is known of it
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
 MASK = (1 << 64) - 1
@@ -148,7 +147,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased', 'wait', 'told', 'rate', 'poor')
+                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased', 'wait', 'told', 'rate')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -160,7 +159,6 @@
         self.raised = 0         # when its share was last raised
         self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
         self.wait, self.told = 0, None      # the wait that its last report tells of, and when that came
-        self.poor = 0.0                     # share of late or failed hops among the latest
         self.rate = 0                       # the best rate it told of lately, a second
         self.pace = self.sent = self.served = None     # served: committed answers lately
 
@@ -227,8 +225,9 @@
         self.caches, self.origin, self.known = [], None, {}
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
         self.logs = deque()
-        self.copies_left = self.moves_left = 1.0
-        self.surveyed, self.usual, self.borne, self.strain = None, 0, 0, 0  # at that time: what warm caches serve, a weight; all bear
+        self.copies_left = 1.0
+        self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
+        self.surveyed, self.usual, self.borne = None, 0, 0  # at that time: what warm caches serve, a weight; all bear
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
@@ -279,7 +278,7 @@
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised = 1, 0, now
             server.bear, server.eased, server.wait, server.told = START, now, 0, None
-            server.rate = server.poor = 0
+            server.rate = 0
             server.pace = Pace(self.unit)
             server.sent, server.served = Meter(self.terms.fall_window), Meter(self.terms.fall_window)
         server.state, server.weight, server.started = state, weight, started
@@ -301,8 +300,7 @@
         if self.tenancies:
             tx.excess = self.tenancies[tenant].over(now)
         if not write:
-            self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain))
-            self.moves_left = min(RACES, self.moves_left + max(0, 1 - 2 * self.strain))
+            self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
         self.rouse(tx)
         self.alarm(limit, tx)
         return tx
@@ -367,8 +365,7 @@
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
         answers and shrinks by a quarter, once a round, when an answer takes over half of the goal."""
         server, most = hop.server, hop.tx.profile.goal // 2
-        if how not in ('unsent', 'cancelled'):
-            server.poor += ((lasted >= most or how not in ('committed', 'missing')) - server.poor) / RECENT
+        self.count(lasted < most and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing', 'error'):
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
@@ -376,6 +373,20 @@
             server.bear = max(1.0, min(server.bear, server.out + 1) * 0.75)
             server.eased = now
 
+    def count(self, well, how):
+        """How hops end over all caches, halved once in a while."""
+        if well:
+            self.smooth += 1
+        elif how not in ('unsent', 'cancelled'):
+            self.poor += 1
+        if self.smooth + self.poor > Histogram.KEPT:
+            self.smooth, self.poor = self.smooth / 2, self.poor / 2
+
+    def strain(self):
+        """The share of hops that end late or badly. The paper's copies presume that slowness is rare and
+        uncorrelated: with half of the hops in trouble, more hops only add to it."""
+        return self.poor / (self.smooth + self.poor)
+
     def unanswered(self, now, server):
         """Guards against servers that are dead, cut off, or take work and answer nothing."""
         server.doubt += 1
@@ -622,12 +633,12 @@
                 continue
             if room and server.out <= busy and not crowded:
                 if home and not tx.hops:
-                    self.moves_left -= 1
+                    self.copies_left -= 1
                 return server
             if not home:
                 home = server
                 open_ = room and (tx.write or not self.crowded(now, server, 1))
-                if not tx.hops and self.moves_left < 1:
+                if not tx.hops and self.copies_left < 1:
                     return server if open_ else None
             if room and (tx.write or not self.crowded(now, server, 1)):
                 if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
@@ -652,10 +663,6 @@
         weight = sum(s.weight for s in warm)
         self.usual = sum(s.served.count(now) for s in warm) / weight if weight else 0
         self.borne = sum(s.bear for s in self.caches)
-        # The paper's copies presume that slowness is rare and uncorrelated: while the median cache is in
-        # trouble, by the origin or by load, more hops and moves only add to it.
-        poor = sorted(s.poor for s in self.caches)
-        self.strain = poor[len(poor) // 2] if poor else 0
 
     def presence(self, now, server):
         """How much a server counts by its age: what a cold one is sure to be able to do, and no more."""
