--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -639,7 +639,7 @@
                 home = server
                 open_ = room and (tx.write or not self.crowded(now, server, 1))
                 if not tx.hops and self.copies_left < 1:
-                    return server if open_ or server.out < busy and not self.crowded(now, server, 1) else None
+                    return server if open_ else None
             if room and (tx.write or not self.crowded(now, server, 1)):
                 if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
                     spare = server
