--- a/lilacdyke/benchlink/decode.py
+++ b/lilacdyke/benchlink/decode.py
@@ -64,13 +64,11 @@
         may_cancel=_find(tree, 'limits.cancel', bool),
         max_hops=_find(tree, 'limits.maxHops', int),
         max_return=down(_find(tree, 'limits.maxRetryAfterS', real)) if may_return else 0,
-        grace=down(_find(tree, 'safety.stopSendingWithinS', real)),
         ask_within=down(_find(tree, 'safety.askWithinS', real)),
         fall_multiple=_find(tree, 'safety.fallMultiple', real),
         fall_window=up(_find(tree, 'safety.overloadForS', real)),
         cold_from=_find(tree, 'safety.coldFrom', real),
         warm_up=up(_find(tree, 'safety.warmUpS', real)),
-        tick=up(_find(tree, 'tickS', real)),
-        origin_fall=tree.get('familyInfo', {}).get('originFallMultiple', 0))
+        tick=up(_find(tree, 'tickS', real)))
     origin_kind = _find(tree, 'familyInfo.originKind', int) if terms.aside else -1
     return terms, _find(tree, 'rank', int), origin_kind
--- a/lilacdyke/terms.py
+++ b/lilacdyke/terms.py
@@ -36,8 +36,8 @@
     """The terms a site gives its nodes: who asks, what is allowed, what must be kept."""
 
     __slots__ = ('profiles', 'tenants', 'nodes', 'zone', 'aside', 'watched', 'may_copy', 'may_cancel',
-                 'max_hops', 'max_return', 'grace', 'ask_within', 'fall_multiple', 'fall_window',
-                 'cold_from', 'warm_up', 'tick', 'origin_fall')
+                 'max_hops', 'max_return', 'ask_within', 'fall_multiple', 'fall_window',
+                 'cold_from', 'warm_up', 'tick')
 
     def __init__(self, **given):
         for name in self.__slots__:
--- /dev/null
+++ b/tests/test_benchlink.py
@@ -0,0 +1,80 @@
+"""The adapter's reading of the wire: bad lines, values, framing."""
+
+import io
+import json
+import unittest
+
+from lilacdyke.benchlink.decode import decode
+from lilacdyke.benchlink.serve import Link
+from lilacdyke.benchlink.values import BadLine, down, number, seconds, up
+
+SITE = {
+    'balancers': 2, 'rank': 0, 'zone': 0, 'tickS': 0.005, 'kindOfService': 'cache', 'membershipMode': 'pushed',
+    'profiles': [{'name': 'r', 'effect': 'free', 'group': 'all', 'repeatWindowS': 1, 'serviceGoalS': 0.5,
+                  'lateRevenue': 0.0}],
+    'tenants': [], 'familyInfo': {'mode': 'through', 'originKind': -1},
+    'limits': {'retryAfter': True, 'mayDuplicate': True, 'cancel': True, 'maxHops': 5, 'maxRetryAfterS': 1.0},
+    'safety': {'stopSendingWithinS': 0.4, 'askWithinS': 10.0, 'fallMultiple': 4.0, 'overloadForS': 1.5,
+               'coldFrom': 0.13, 'warmUpS': 24.0}}
+START = ['TURN\t1.0', 'ENLIST\t3\t7\t' + json.dumps(SITE), 'POOL\t0\t1', 'ROW\t0\t0\t1\tserver_a\t-\tSERVING\t0',
+         'ROSTER_CHANGE\t3\trestored\t1\t0', 'EOF_BATCH']
+ASK = 'ASK\t3\t9\t0\t0\tpage:k\t3.0\t-\t-\t0'
+
+
+def served(*lines):
+    """What the adapter replies to a started instance given these lines, and its complaints."""
+    sink, errors = io.BytesIO(), io.StringIO()
+    Link(io.BytesIO(('\n'.join([*START, *lines]) + '\n').encode()), sink, errors).run()
+    return sink.getvalue().decode().split('\n'), errors.getvalue()
+
+
+class Lines(unittest.TestCase):
+    def test_a_transaction_is_sent(self):
+        reply, complaints = served('TURN\t1.1', ASK, 'EOF_BATCH')
+        self.assertIn('ASSIGN\t3\t9\tserver_a\t-', reply)
+        self.assertEqual(complaints, '')
+
+    def test_bad_lines_are_named_not_guessed(self):
+        bad = {
+            'NONSENSE\t3': 'unknown verb', ASK + '\t1': 'values', ASK.replace('3.0', 'soon'): 'not a number',
+            ASK.replace('\t9\t', '\t-9\t'): 'not a whole number', 'LEFT\t8\t9': 'no such instance',
+            'ANSWER\t3\t9\t0\tserver_z\tshed\t0.1\t0\t-\t-': 'never named',
+            'ANSWER\t3\t9\t0\tserver_a\tperhaps\t0.1\t0\t-\t-': 'unknown outcome',
+            'ASK\t3\t9\t5\t0\tk\t3.0\t-\t-\t0': 'no such profile', 'ROSTER_CHANGE\t3\treplace\t1\t7': 'never sent',
+            'HEARD\t3\t1\tzz': 'not hex', 'ECHO\t3\tserver_a\tdelivered\t0.1\tqueue=1': 'not a load report'}
+        for line, told in bad.items():
+            with self.subTest(line=line):
+                reply, complaints = served('TURN\t1.1', line, 'EOF_BATCH')
+                self.assertIn('line 8', complaints)
+                self.assertIn(told, complaints)
+                known = line.split('\t')[1] == '3'
+                self.assertEqual(any(part.startswith('BAIL_OUT\t3\tline 8') for part in reply), known)
+
+    def test_an_id_no_longer_held_is_passed_over(self):
+        _, complaints = served('TURN\t1.1', 'LEFT\t3\t77', 'EOF_BATCH')
+        self.assertEqual(complaints, '')
+
+    def test_a_killed_instance_is_forgotten(self):
+        _, complaints = served('TURN\t1.1', 'RETIRE\t3', ASK, 'EOF_BATCH')
+        self.assertIn('no such instance', complaints)
+
+    def test_input_that_ends_inside_a_batch(self):
+        _, complaints = served('TURN\t1.1', ASK)
+        self.assertIn('inside a batch', complaints)
+
+
+class Values(unittest.TestCase):
+    def test_missing_setting_is_named(self):
+        site = {key: value for key, value in SITE.items() if key != 'tickS'}
+        with self.assertRaisesRegex(BadLine, 'tickS'):
+            decode(json.dumps(site))
+
+    def test_rounding_at_the_door(self):
+        self.assertEqual((down(0.00019), up(0.00011), down(0.3), up(0.3)), (1, 2, 3000, 3000))
+
+    def test_seconds_are_exact(self):
+        self.assertEqual((seconds(12_345), seconds(-1)), ('1.2345', '-0.0001'))
+
+    def test_numbers_must_be_finite(self):
+        with self.assertRaises(BadLine):
+            number('1e999')
--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,313 @@
+"""The decision module, one state and one call a test."""
+
+import unittest
+
+from lilacdyke.logic import DOUBT, FLOOR, LOOKUPS, RACES, Histogram, Meter, Pace, mix
+
+from .helpers import KEPT, ONCE, READ, ended, enlist, out, router, taken
+
+
+class Rank(unittest.TestCase):
+    def test_hash_spreads(self):
+        """Neighbouring marks land evenly in halves, and alike in every process."""
+        self.assertTrue(400 < sum(mix(n) >> 63 for n in range(1000)) < 600)
+        self.assertEqual(mix(1), 0x910A2DEC89025CC1)
+
+    def test_added_cache_moves_only_its_own_keys(self):
+        made = router(5)
+        before = {key: made.ranked(0, taken(made, key=key))[0] for key in map(str, range(200))}
+        new = enlist(made, 'new')
+        after = {key: made.ranked(0, taken(made, key=key))[0] for key in before}
+        moved = [key for key in before if after[key] is not before[key]]
+        self.assertTrue(moved and all(after[key] is new for key in moved))
+
+    def test_fresh_cache_counts_by_age(self):
+        made = router(2)
+        fresh = enlist(made, 'f', started=0)
+        self.assertEqual([made.presence(at, fresh) for at in (0, 50_000, 100_000)], [0.1, 0.5, 1])
+
+
+class PassOver(unittest.TestCase):
+    def state(self, extra):
+        made = router(4)
+        tx = taken(made)
+        first, second = made.ranked(0, tx)[:2]
+        first.out = made.total_out = extra
+        return made, tx, first, second
+
+    def test_far_over_the_mean(self):
+        made, tx, _, second = self.state(5)
+        self.assertIs(made.pick(0, tx), second)
+
+    def test_not_far_over_the_mean(self):
+        made, tx, first, _ = self.state(4)
+        self.assertIs(made.pick(0, tx), first)
+
+    def test_no_budget_stays_home(self):
+        made, tx, first, _ = self.state(5)
+        made.copies_left = 0
+        self.assertIs(made.pick(0, tx), first)
+
+    def test_told_of_a_long_wait(self):
+        made, tx, first, second = self.state(0)
+        first.pace.answers.add(1000)
+        made.reported(0, first, {'queue': 4.0, 'qps': 5.0})
+        self.assertIs(made.pick(0, tx), second)
+
+    def test_old_report_counts_no_more(self):
+        made, tx, first, _ = self.state(0)
+        first.wait, first.told = 9999, 0
+        self.assertFalse(made.crowded(5000, first, 1 / 3))
+
+    def test_all_full_turns_away(self):
+        made, tx, *_ = self.state(0)
+        for cache in made.caches:
+            cache.out, cache.bear = 1, 1.0
+        self.assertIsNone(made.pick(0, tx))
+
+    def test_set_aside_gets_a_trickle(self):
+        made, tx, first, second = self.state(0)
+        first.share, made.chance = FLOOR, lambda: 0.5
+        self.assertIs(made.pick(0, tx), second)
+
+
+class Delay(unittest.TestCase):
+    def test_base_at_start(self):
+        self.assertEqual(Pace(100).delay(1250, 2500), 1250)
+
+    def test_base_from_answers(self):
+        pace = Pace(100)
+        for _ in range(40):
+            pace.answers.add(150)
+        self.assertEqual(pace.delay(1250, 2500), 3 * pace.answers.quantile(0.95) // 2)
+
+    def test_zero_then_mean_and_deviation(self):
+        pace = Pace(100)
+        for turn in range(RACES // 2 + 1):
+            pace.raced(True, 300)
+        self.assertEqual((pace.delay(1250, 2500), pace.delay(1250, 2500)), (0, sum(pace.copies.spread())))
+
+    def test_half_of_the_races_is_not_enough(self):
+        pace = Pace(100)
+        for turn in range(RACES):
+            pace.raced(turn % 2 == 0, 300)
+        self.assertIsNone(pace.swift)
+
+    def test_base_again_after_lookups_alone(self):
+        pace = Pace(100)
+        pace.swift, pace.alone = 1, LOOKUPS
+        self.assertEqual(pace.delay(1250, 2500), 1250)
+
+    def test_delay_doubles_with_each_copy(self):
+        made = router(4)
+        tx = taken(made)
+        out(made, tx, made.caches[0])
+        tx.delay, made.copies_left = 100, 5
+        made.step_read(100, tx, True)
+        self.assertEqual((tx.delay, tx.next), (200, 300))
+
+    def test_no_copy_without_budget(self):
+        made = router(4)
+        tx = taken(made)
+        out(made, tx, made.caches[0])
+        tx.next, made.copies_left = 0, 0
+        self.assertIsNone(made.step_waiting(100, tx))
+
+    def test_strain_starves_copies(self):
+        made = router(4)
+        made.copies_left, made.smooth, made.poor = 0, 10, 10
+        taken(made)
+        self.assertEqual(made.copies_left, 0)
+
+
+class Measure(unittest.TestCase):
+    def test_quantile_lies_in_its_bin(self):
+        times = Histogram(100)
+        for value in (120, 120, 120, 900):
+            times.add(value)
+        self.assertTrue(100 <= times.quantile(0.5) <= 142 and 800 <= times.quantile(1) <= 1132)
+
+    def test_old_times_fade(self):
+        times = Histogram(100)
+        for _ in range(Histogram.KEPT):
+            times.add(50)
+        self.assertEqual(times.total, Histogram.KEPT // 2)
+
+    def test_meter_forgets_after_two_windows(self):
+        meter = Meter(100)
+        meter.add(50)
+        self.assertEqual((meter.count(150), meter.count(250)), (1, 0))
+
+
+class Gate(unittest.TestCase):
+    def permitted(self, row, write=True, how='expired', ran=True, now=100, **other):
+        made = router(3, **other)
+        tx = taken(made, row, write=write)
+        ended(made, tx, made.caches[0], how, ran=ran)
+        return made.permitted(now, tx, made.caches[1])
+
+    def test_non_idempotent_never_after_it_may_have_run(self):
+        self.assertFalse(self.permitted(ONCE))
+
+    def test_non_idempotent_after_proof(self):
+        self.assertTrue(self.permitted(ONCE, how='refused', ran=False))
+
+    def test_journalled_within_its_window_only(self):
+        self.assertTrue(self.permitted(KEPT, now=3900))
+        self.assertFalse(self.permitted(KEPT, now=3990))
+
+    def test_journalled_stays_in_its_group(self):
+        made = router(2)
+        tx = taken(made, KEPT, write=True)
+        tx.profile.group = 'zone'
+        ended(made, tx, made.caches[0], 'expired')
+        self.assertFalse(made.permitted(0, tx, enlist(made, 'far', zone=1)))
+
+    def test_nothing_after_the_limit_or_the_end(self):
+        made = router(2)
+        tx = taken(made)
+        self.assertFalse(made.permitted(20_000, tx, made.caches[0]))
+        tx.done = True
+        self.assertFalse(made.permitted(0, tx, made.caches[0]))
+
+    def test_hops_are_bounded(self):
+        self.assertFalse(self.permitted(READ, False, max_hops=1))
+
+    def test_no_second_pending_hop_where_barred(self):
+        made = router(2, may_copy=False)
+        tx = taken(made)
+        out(made, tx, made.caches[0])
+        self.assertFalse(made.permitted(0, tx, made.caches[1]))
+
+    def test_draining_gets_nothing(self):
+        made = router(2)
+        server = made.caches[0]
+        made.list_changed(0, [(server, 'draining', 1, None, 0, 0)])
+        self.assertFalse(made.permitted(0, taken(made), server))
+
+    def test_missing_from_a_whole_list_is_gone(self):
+        made = router(2)
+        kept, lost = made.caches
+        made.list_replaced(0, [(kept, 'ready', 1, None, 0, 0)])
+        self.assertFalse(made.permitted(0, taken(made), lost))
+
+    def test_cold_gets_no_more_than_warm_serve(self):
+        made = router(2)
+        fresh = enlist(made, 'f', started=0)
+        for _ in range(50):     # an overload: many sends to warm caches, none of them served
+            made.caches[0].sent.add(0)
+        fresh.sent.add(0)
+        self.assertFalse(made.cold_room(0, fresh))
+
+    def test_restart_under_its_own_id_is_cold(self):
+        made = router(2)
+        server = made.caches[0]
+        made.list_changed(50, [(server, 'ready', 1, 40, 0, 0)])
+        self.assertEqual(made.presence(50, server), 0.1)
+
+
+class GivingUp(unittest.TestCase):
+    def answer(self, row, ran):
+        made = router(1)
+        tx = taken(made, row, write=True)
+        ended(made, tx, made.caches[0], 'expired', ran=ran)
+        return made.give_up(0, tx)[0]
+
+    def test_what_may_have_run_and_must_not_twice(self):
+        self.assertEqual(self.answer(ONCE, True), 'abandon')
+
+    def test_what_is_known_not_to_have_run(self):
+        self.assertEqual(self.answer(ONCE, False), 'roll_back')
+
+    def test_journalled_by_all(self):
+        self.assertEqual(self.answer(KEPT, True), 'roll_back')
+
+    def test_empty_list_answers_at_once(self):
+        made = router(0)
+        tx = taken(made)
+        self.assertEqual(made.decide(0), ('roll_back', tx, 0))
+
+    def test_no_origin_answers_at_once(self):
+        made = router(1, origin=True)
+        made.origin, tx = None, taken(made)
+        tx.missed = made.caches[0]
+        self.assertEqual(made.step_fetch(0, tx)[0], 'roll_back')
+
+    def test_client_gone_cancels(self):
+        made = router(1)
+        tx = taken(made)
+        hop = out(made, tx, made.caches[0])
+        tx.done = True
+        self.assertEqual(made.cancel(tx), ('cancel', hop))
+
+    def test_limit_with_nothing_out(self):
+        made = router(1)
+        tx = taken(made)
+        self.assertEqual(made.step(20_000, tx)[0], 'roll_back')
+
+    def test_no_retry_storm_on_errors(self):
+        made = router(3)
+        tx = taken(made)
+        ended(made, tx, made.caches[0], 'error')
+        made.copies_left = 0
+        self.assertEqual(made.step_read(0, tx, False)[0], 'roll_back')
+
+
+class Health(unittest.TestCase):
+    def test_silence_sets_aside(self):
+        made = router(2)
+        for _ in range(DOUBT):
+            made.unanswered(0, made.caches[0])
+        self.assertEqual(made.caches[0].share, FLOOR)
+
+    def test_trickle_doubles(self):
+        made = router(2)
+        server = made.caches[0]
+        server.share = FLOOR
+        hop = out(made, taken(made), server)
+        made.hop_ended(10, hop, 'committed', 10, True, 0, None)
+        self.assertEqual(server.share, 2 * FLOOR)
+
+    def test_slow_answers_shrink_what_it_bears(self):
+        made = router(2)
+        hop = out(made, taken(made), made.caches[0])
+        made.hop_ended(4000, hop, 'committed', 4000, True, 0, None)
+        self.assertLess(made.caches[0].bear, 2)
+
+
+class Origin(unittest.TestCase):
+    def test_reads_of_one_key_share_a_fetch(self):
+        made = router(2, origin=True)
+        leader, follower = taken(made), taken(made)
+        made.fetching['k'] = leader
+        follower.missed = made.caches[0]
+        made.step_fetch(0, follower)
+        self.assertTrue(follower.held and made.followers['k'] == [follower])
+
+    def test_followers_go_on_when_the_leader_ends(self):
+        made = router(2, origin=True)
+        leader, follower = taken(made), taken(made)
+        made.fetching['k'], made.followers['k'] = leader, [follower]
+        follower.held, follower.missed = True, made.caches[0]
+        made.client_gone(0, leader)
+        self.assertIs(follower.again, made.caches[0])
+
+    def test_fetches_are_bounded(self):
+        made = router(2, origin=True)
+        made.origin.bear, made.origin.out, tx = 1.0, 1, taken(made)
+        tx.missed = made.caches[0]
+        made.step_fetch(0, tx)
+        self.assertTrue(tx.queued and not tx.hops)
+
+
+class List(unittest.TestCase):
+    def test_asked_for_at_the_start(self):
+        self.assertEqual(router(0, watched=True).decide(0), ('watch',))
+
+    def test_failures_wait_longer_but_not_too_long(self):
+        made = router(0, watched=True)
+        made.chance, waits = lambda: 0.5, []
+        for _ in range(12):
+            made.list_failed(0)
+            waits.append(made.watch_at)
+        self.assertTrue(waits[0] < waits[1] <= waits[-1] < made.terms.ask_within)
