--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -661,7 +661,9 @@
         self.surveyed = now
         warm = [s for s in self.caches if self.presence(now, s) == 1]
         weight = sum(s.weight for s in warm)
-        self.usual = sum(s.served.count(now) for s in warm) / weight if weight else 0
+        # The best seen is kept: in a fast deploy no warm cache is left to measure by, and all would starve.
+        if weight:
+            self.usual = max(self.usual, sum(s.served.count(now) for s in warm) / weight)
         self.borne = sum(s.bear for s in self.caches)
 
     def presence(self, now, server):
