--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -623,7 +623,6 @@
         tried = [hop.server for hop in tx.hops]
         busy = OVER * self.total_out / len(self.caches) + MARGIN
         home = spare = None
-        free = self.origin is not None and self.origin.out < self.origin.bear / 2
         for server in self.ranked(now, tx):
             if server in tried or server.state != 'ready' or not self.cold_room(now, server):
                 continue
@@ -634,12 +633,12 @@
                 continue
             if room and server.out <= busy and not crowded:
                 if home and not tx.hops:
-                    self.copies_left -= not free
+                    self.copies_left -= 1
                 return server
             if not home:
                 home = server
                 open_ = room and (tx.write or not self.crowded(now, server, 1))
-                if not tx.hops and not free and self.copies_left < 1:
+                if not tx.hops and self.copies_left < 1:
                     return server if open_ else None
             if room and (tx.write or not self.crowded(now, server, 1)):
                 if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
