--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -277,7 +277,9 @@
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised = 1, 0, now
-            server.bear, server.eased, server.wait, server.told = START, now, 0, None
+            server.eased, server.wait, server.told = now, 0, None
+            server.started = started
+            server.bear = max(MARGIN, START * self.presence(now, server))
             server.rate = 0
             server.pace = Pace(self.unit)
             server.sent, server.served = Meter(self.terms.fall_window), Meter(self.terms.fall_window)
@@ -641,10 +643,14 @@
                 if not tx.hops and self.copies_left < 1:
                     return server if open_ else None
             if room and (tx.write or not self.crowded(now, server, 1)):
-                if spare is None or (server.share < 1, server.out) < (spare.share < 1, spare.out):
+                if spare is None or self.load(now, server) < self.load(now, spare):
                     spare = server
         return spare
 
+    def load(self, now, server):
+        """How loaded a server is by this node, for its size and age; the set-aside come last."""
+        return server.share < 1, (server.out + 1) / (server.weight * self.presence(now, server) + 1e-9)
+
     def ranked(self, now, tx):
         """Weighted rendezvous: size and age set how many keys a cache wins; others' keys do not move."""
         if tx.rank is None:
