--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -676,7 +676,8 @@
         """How much a server counts by its age: what a cold one is sure to be able to do, and no more."""
         if server.started is None or now - server.started >= self.terms.warm_up:
             return 1
-        return max(self.terms.cold_from / 2, (now - server.started) / self.terms.warm_up)
+        cold = self.terms.cold_from
+        return cold + (1 - cold) * max(0, now - server.started) / self.terms.warm_up
 
     # --- the gate ---------------------------------------------------------------------------------------
 
