--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -351,7 +351,7 @@
         server.doubt = 0
         if how == 'committed':
             server.served.add(now)
-        if server.share < 1 and hop.sent >= server.raised:
+        if server.share < 1 and hop.sent >= server.raised and lasted < hop.tx.profile.goal // 2:
             server.share = min(1, server.share * 2)
             server.raised = now
         if server.origin or hop.tx.done:
@@ -372,6 +372,9 @@
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
         elif (lasted >= most or how in ('refused', 'lost')) and hop.sent >= server.eased and how != 'unsent':
+            if server.bear == 1:
+                # One hop from each node keeps a jammed server jammed: let it drain, then trickle back.
+                server.share, server.raised = max(FLOOR, server.share / 2), now
             server.bear = max(1.0, min(server.bear, server.out + 1) * 0.75)
             server.eased = now
 
