A cache answer over a third of the goal counts as slow

Told from a slow machine by fresh caches of the same kind being quick, and by the price for overdriven servers.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -366,7 +366,8 @@
     def weigh(self, now, hop, how, lasted):
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
         answers and shrinks by a quarter, once a round, when an answer takes over half of the goal."""
-        server, most = hop.server, hop.tx.profile.goal // 2
+        server = hop.server
+        most = hop.tx.profile.goal // (2 if server.origin else 3)
         self.count(lasted < most and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing', 'error'):
             if server.out + 1 >= server.bear / 2:
