At the origin only answers over the whole goal count as slow

Cause: the origin's ordinary answers, writes above all, take a good part of the goal, so its bound shrank when nothing was wrong and misses were rolled back.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -367,7 +367,7 @@
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
         answers and shrinks by a quarter, once a round, when an answer takes over half of the goal."""
         server = hop.server
-        most = hop.tx.profile.goal // (2 if server.origin else 3)
+        most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         self.count(lasted < most and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing', 'error'):
             if server.out + 1 >= server.bear / 2:
