--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -369,10 +369,10 @@
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         self.count(lasted < most and how in ('committed', 'missing'), how)
-        if lasted < most and how in ('committed', 'missing', 'error'):
+        if lasted < most and how in ('committed', 'missing'):
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
-        elif (lasted >= most or how in ('refused', 'lost')) and hop.sent >= server.eased and how != 'unsent':
+        elif (lasted >= most or how in ('refused', 'lost', 'error')) and hop.sent >= server.eased and how != 'unsent':
             if server.bear == 1:
                 # One hop from each node keeps a jammed server jammed: let it drain, then trickle back.
                 server.share, server.raised = max(FLOOR, server.share / 2), now
@@ -556,10 +556,8 @@
 
     def step_read(self, now, tx, copy):
         """Send to the best-ranked cache not yet tried; a copy's absence is no reason to give up."""
-        further = tx.hops and not copy and tx.hops[-1].ran and not tx.again and not tx.missed
-        if further and self.copies_left < 1:
-            return self.give_up(now, tx)    # guards against a retry storm when many hops fail
-        self.copies_left -= 1 if further else 0
+        if not (copy or tx.again or tx.missed or self.afford(tx)):
+            return self.give_up(now, tx)
         server = tx.again or self.pick(now, tx)
         tx.again = None
         decision = None
@@ -583,12 +581,22 @@
                 self.rouse(tx)
         return decision
 
+    def afford(self, tx):
+        """Take a further hop, after one that may have run, out of the budget: guards against a retry storm when
+        many hops fail, as when the origin behind all caches does."""
+        if not tx.hops or not tx.hops[-1].ran:
+            return True
+        if self.copies_left < 1:
+            return False
+        self.copies_left -= 1
+        return True
+
     def step_once(self, now, tx):
         """Writes and what must not run twice go once, and again only after proof that they did not run."""
         if tx.next is not None and now < tx.next:
             return None
         server = self.origin if self.terms.aside and tx.write else self.pick(now, tx)
-        decision = server and self.send(now, tx, server, False)
+        decision = server and self.afford(tx) and self.send(now, tx, server, False)
         return decision or self.give_up(now, tx)
 
     def step_fetch(self, now, tx):
