--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -636,15 +636,18 @@
             return None
         tried = [hop.server for hop in tx.hops]
         busy = OVER * self.total_out / len(self.caches) + MARGIN
-        home = spare = None
+        home, spare, aside = None, None, 0
         for server in self.ranked(now, tx):
             if server in tried or server.state != 'ready' or not self.cold_room(now, server):
                 continue
             crowded = self.crowded(now, server, CROWD)
             room = tx.write or server.out < server.bear
-            if server.share < 1 and self.chance() >= server.share:
-                spare = spare or (server if room else None)
-                continue
+            if server.share < 1:
+                # Only the foremost are tried, and by chance: with all set aside, one hop of each node at each
+                # cache would keep them jammed, and a far-ranked cache would only miss.
+                aside += 1
+                if (aside > self.terms.max_hops or self.chance() >= server.share) and not tx.write:
+                    continue
             if room and server.out <= busy and not crowded:
                 if home and not tx.hops:
                     self.copies_left -= 1
