--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -646,7 +646,8 @@
                 # Only the foremost are tried, and by chance: with all set aside, one hop of each node at each
                 # cache would keep them jammed, and a far-ranked cache would only miss.
                 aside += 1
-                if (aside > self.terms.max_hops or self.chance() >= server.share) and not tx.write:
+                if aside > self.terms.max_hops or self.chance() >= server.share:
+                    spare = spare or (server if tx.write else None)
                     continue
             if room and server.out <= busy and not crowded:
                 if home and not tx.hops:
