--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -71,6 +71,21 @@
         self.assertIs(made.pick(0, tx), second)
 
 
+    def test_all_set_aside_get_no_more_than_their_trickle(self):
+        made, tx, *_ = self.state(0)
+        made.chance = lambda: 0.5
+        for cache in made.caches:
+            cache.share = FLOOR
+        self.assertIsNone(made.pick(0, tx))
+
+    def test_writes_go_to_the_set_aside_only_as_a_last_resort(self):
+        made, _, *_ = self.state(0)
+        made.chance, write = lambda: 0.5, taken(made, KEPT, write=True)
+        first, second = made.ranked(0, write)[:2]
+        first.share = FLOOR
+        self.assertIs(made.pick(0, write), second)
+
+
 class Delay(unittest.TestCase):
     def test_base_at_start(self):
         self.assertEqual(Pace(100).delay(1250, 2500), 1250)
@@ -120,6 +135,14 @@
         self.assertEqual(made.copies_left, 0)
 
 
+    def test_no_budget_no_further_hop_after_an_error(self):
+        made = router(3)
+        tx = taken(made, KEPT, write=True)
+        ended(made, tx, made.caches[0], 'error')
+        made.copies_left = 0.5
+        self.assertEqual((made.afford(tx), made.copies_left), (False, 0.5))
+
+
 class Measure(unittest.TestCase):
     def test_quantile_lies_in_its_bin(self):
         times = Histogram(100)
@@ -199,6 +222,15 @@
         fresh.sent.add(0)
         self.assertFalse(made.cold_room(0, fresh))
 
+    def test_cold_budget_outlasts_the_last_warm_cache(self):
+        made = router(2)
+        fresh = enlist(made, 'f', started=0)
+        made.usual, made.surveyed = 40, -1
+        for cache in made.caches:
+            cache.started = 0
+        fresh.sent.add(0)
+        self.assertTrue(made.cold_room(0, fresh))
+
     def test_restart_under_its_own_id_is_cold(self):
         made = router(2)
         server = made.caches[0]
@@ -268,6 +300,19 @@
         made.hop_ended(10, hop, 'committed', 10, True, 0, None)
         self.assertEqual(server.share, 2 * FLOOR)
 
+    def test_jammed_with_one_hop_out_drains(self):
+        made = router(2)
+        server, tx = made.caches[0], taken(made)
+        server.bear = 1.0
+        made.weigh(4000, out(made, tx, server), 'committed', 4000)
+        self.assertEqual(server.share, 0.5)
+
+    def test_errors_shrink_what_it_bears(self):
+        made = router(2)
+        server = made.caches[0]
+        made.weigh(10, out(made, taken(made), server), 'error', 10)
+        self.assertLess(server.bear, 2)
+
     def test_slow_answers_shrink_what_it_bears(self):
         made = router(2)
         hop = out(made, taken(made), made.caches[0])
