--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -635,19 +635,21 @@
         if not self.caches:
             return None
         tried = [hop.server for hop in tx.hops]
+        # Writes go where reads do not, until hops fail all over: then retried writes alone keep an origin down.
+        urgent = tx.write and self.strain() < 0.5
         busy = OVER * self.total_out / len(self.caches) + MARGIN
         home, spare, aside = None, None, 0
         for server in self.ranked(now, tx):
             if server in tried or server.state != 'ready' or not self.cold_room(now, server):
                 continue
             crowded = self.crowded(now, server, CROWD)
-            room = tx.write or server.out < server.bear
+            room = urgent or server.out < server.bear
             if server.share < 1:
                 # Only the foremost are tried, and by chance: with all set aside, one hop of each node at each
                 # cache would keep them jammed, and a far-ranked cache would only miss.
                 aside += 1
                 if aside > self.terms.max_hops or self.chance() >= server.share:
-                    spare = spare or (server if tx.write else None)
+                    spare = spare or (server if urgent else None)
                     continue
             if room and server.out <= busy and not crowded:
                 if home and not tx.hops:
@@ -655,10 +657,10 @@
                 return server
             if not home:
                 home = server
-                open_ = room and (tx.write or not self.crowded(now, server, 1))
+                open_ = room and (urgent or not self.crowded(now, server, 1))
                 if not tx.hops and self.copies_left < 1:
                     return server if open_ else None
-            if room and (tx.write or not self.crowded(now, server, 1)):
+            if room and (urgent or not self.crowded(now, server, 1)):
                 if spare is None or self.load(now, server) < self.load(now, spare):
                     spare = server
         return spare
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -86,6 +86,14 @@
         self.assertIs(made.pick(0, write), second)
 
 
+    def test_under_strain_writes_keep_to_what_a_cache_bears(self):
+        made, *_ = self.state(0)
+        made.smooth, made.poor, write = 1, 9, taken(made, KEPT, write=True)
+        for cache in made.caches:
+            cache.out, cache.bear = 1, 1.0
+        self.assertIsNone(made.pick(0, write))
+
+
 class Delay(unittest.TestCase):
     def test_base_at_start(self):
         self.assertEqual(Pace(100).delay(1250, 2500), 1250)
