--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -314,7 +314,6 @@
     def hop_started(self, now, hop):
         """A streamed answer begins: the hop is the client's and the others are not needed."""
         hop.dropped = True
-        hop.tx.done = True
         self.finish(now, hop.tx)
 
     def hop_ended(self, now, hop, how, lasted, final, note, report):
@@ -527,15 +526,11 @@
         """The loser of a race, or a hop whose client has gone, is not waited for."""
         if self.terms.may_cancel and tx.out:
             for hop in tx.hops:
-                if hop.out and not hop.dropped and not self.useful(hop):
+                if hop.out and not hop.dropped:
                     hop.dropped = True
                     return 'cancel', hop
         return None
 
-    def useful(self, hop):
-        """A fetch's object is kept where it was missed only while somebody waits: none does."""
-        return False
-
     def step_waiting(self, now, tx):
         """A hop is out: send a copy once the delay has passed, or fetch if another cache missed already."""
         if tx.next is None or now < tx.next or not self.may_copy(tx):
@@ -569,7 +564,6 @@
             return None if copy else self.give_up(now, tx)
         if copy:
             tx.delay *= 2
-            server.pace.alone = server.pace.alone
             tx.hops[0].server.pace.alone = 0
         else:
             tx.delay = server.pace.delay(tx.profile.goal // 4, tx.profile.goal // 2)
