--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -227,7 +227,8 @@
         self.logs = deque()
         self.copies_left = 1.0
         self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
-        self.surveyed, self.usual, self.borne = None, 0, 0  # at that time: what warm caches serve, a weight; all bear
+        # When the caches were surveyed; the most that warm ones served, a weight; what all bear.
+        self.surveyed, self.usual, self.borne = None, 0, 0
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
@@ -364,14 +365,15 @@
 
     def weigh(self, now, hop, how, lasted):
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
-        answers and shrinks by a quarter, once a round, when an answer takes over half of the goal."""
+        answers and shrinks by a quarter, once a round, when an answer takes over a third of the goal: crowded caches
+        slow down and stay so. An origin's ordinary answers take longer: there it is the whole goal."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         self.count(lasted < most and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing'):
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
-        elif (lasted >= most or how in ('refused', 'lost', 'error')) and hop.sent >= server.eased and how != 'unsent':
+        elif hop.sent >= server.eased and (lasted >= most and how != 'unsent' or how in ('refused', 'lost', 'error')):
             if server.bear == 1:
                 # One hop from each node keeps a jammed server jammed: let it drain, then trickle back.
                 server.share, server.raised = max(FLOOR, server.share / 2), now
@@ -576,8 +578,8 @@
         return decision
 
     def afford(self, tx):
-        """Take a further hop, after one that may have run, out of the budget: guards against a retry storm when
-        many hops fail, as when the origin behind all caches does."""
+        """Take a further hop, after one that may have run, out of the budget: guards against a retry storm
+        when many hops fail, as when the origin behind all caches does."""
         if not tx.hops or not tx.hops[-1].ran:
             return True
         if self.copies_left < 1:
@@ -629,7 +631,7 @@
         if not self.caches:
             return None
         tried = [hop.server for hop in tx.hops]
-        # Writes go where reads do not, until hops fail all over: then retried writes alone keep an origin down.
+        # Writes go where reads do not, until hops fail all over: then retried writes keep an origin down.
         urgent = tx.write and self.strain() < 0.5
         busy = OVER * self.total_out / len(self.caches) + MARGIN
         home, spare, aside = None, None, 0
@@ -666,8 +668,10 @@
     def ranked(self, now, tx):
         """Weighted rendezvous: size and age set how many keys a cache wins; others' keys do not move."""
         if tx.rank is None:
-            scored = [(self.presence(now, s) * s.weight / -log((mix(s.mark ^ tx.mark) + 1) / (MASK + 2)), s.name, s)
-                      for s in self.caches]
+            scored = []
+            for s in self.caches:
+                drawn = (mix(s.mark ^ tx.mark) + 1) / (MASK + 2)
+                scored.append((self.presence(now, s) * s.weight / -log(drawn), s.name, s))
             scored.sort(reverse=True)
             tx.rank = [row[2] for row in scored]
         return tx.rank
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,7 +9,8 @@
 def terms(**other):
     """A site with one profile of each kind; times in tenths of a millisecond."""
     given = dict(
-        profiles=[Profile('read', IDEMPOTENT, 'all', 0, 5000, 0), Profile('kept', JOURNALLED, 'all', 4000, 5000, 0),
+        profiles=[Profile('read', IDEMPOTENT, 'all', 0, 5000, 0),
+                  Profile('kept', JOURNALLED, 'all', 4000, 5000, 0),
                   Profile('once', NON_IDEMPOTENT, 'all', 0, 5000, 0)],
         tenants=[], nodes=2, zone=0, aside=False, watched=False, may_copy=True, may_cancel=True, max_hops=5,
         max_return=0, ask_within=100_000, fall_multiple=3, fall_window=10_000, cold_from=0.2,
