--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -365,15 +365,16 @@
 
     def weigh(self, now, hop, how, lasted):
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
-        answers and shrinks by a quarter, once a round, when an answer takes over a third of the goal: crowded caches
-        slow down and stay so. An origin's ordinary answers take longer: there it is the whole goal."""
+        answers and shrinks by a quarter, once a round, when an answer takes over a third of the goal:
+        crowded caches slow down and stay so. An origin's ordinary answers take longer: there it is the whole goal."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         self.count(lasted < most and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing'):
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
-        elif hop.sent >= server.eased and (lasted >= most and how != 'unsent' or how in ('refused', 'lost', 'error')):
+        elif hop.sent >= server.eased and how != 'unsent' and (
+                lasted >= most or how in ('refused', 'lost', 'error')):
             if server.bear == 1:
                 # One hop from each node keeps a jammed server jammed: let it drain, then trickle back.
                 server.share, server.raised = max(FLOOR, server.share / 2), now
