--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -522,8 +522,8 @@
         return min(tx.limit, tx.taken + tx.profile.goal)
 
     def turned_away(self, tx):
-        """The excess of tenants goes first: once more than half of what the caches bear is out."""
-        return tx.excess and self.total_out > self.borne / 2
+        """The excess of tenants goes first: once more than a quarter of what the caches bear is out."""
+        return tx.excess and self.total_out > self.borne / 4
 
     def cancel(self, tx):
         """The loser of a race, or a hop whose client has gone, is not waited for."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -293,6 +293,15 @@
         self.assertEqual(made.step_read(0, tx, False)[0], 'roll_back')
 
 
+    def test_excess_goes_first_and_only_under_pressure(self):
+        made = router(2)
+        tx, made.borne = taken(made), 20
+        tx.excess, answers = True, []
+        for made.total_out in (5, 6):
+            answers.append(made.turned_away(tx))
+        self.assertEqual(answers, [False, True])
+
+
 class Health(unittest.TestCase):
     def test_silence_sets_aside(self):
         made = router(2)
