--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -523,7 +523,7 @@
 
     def turned_away(self, tx):
         """The excess of tenants goes first: once more than a quarter of what the caches bear is out."""
-        return tx.excess and self.total_out > self.borne / 8
+        return tx.excess and self.total_out > self.borne / 4
 
     def cancel(self, tx):
         """The loser of a race, or a hop whose client has gone, is not waited for."""
