--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -28,7 +28,7 @@
 OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
 CROWD = 1 / 3           # passed over: one that tells of a wait over this part of the goal
 START = 32.0            # hops out at one server before anything is known of it
-COPY_SHARE = 0.35       # copies, as a share of the reads taken
+COPY_SHARE = 0.25       # copies, as a share of the reads taken
 MASK = (1 << 64) - 1
 
 
