Strain counts answers over half the goal

Cause: with a third, which bounds crowding, ordinary answers counted as strain and moves dried up in a fleet near idle.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -369,7 +369,7 @@
         crowded caches slow down and stay so. An origin's ordinary answers take longer: there it is the whole goal."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
-        self.count(lasted < most and how in ('committed', 'missing'), how)
+        self.count(lasted < hop.tx.profile.goal // 2 and how in ('committed', 'missing'), how)
         if lasted < most and how in ('committed', 'missing'):
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
