--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -233,20 +233,20 @@
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
         self.fetches = Histogram(self.unit)
-        self.watching, self.watch_at, self.failures = False, 0 if terms.watched else None, 0
+        self.watch_at, self.failures = 0 if terms.watched else None, 0
 
     # --- the list ---------------------------------------------------------------------------------------
 
     def list_changed(self, now, entries):
         """Changes to the list."""
-        self.list_came(now)
+        self.failures, self.watch_at = 0, None
         for entry in entries:
             self.list_entry(now, *entry)
         self.relist()
 
     def list_replaced(self, now, entries):
         """The whole list: what it lacks is gone."""
-        self.list_came(now)
+        self.failures, self.watch_at = 0, None
         named = {entry[0].name for entry in entries}
         for server in self.known.values():
             if server.name not in named:
@@ -264,16 +264,11 @@
     def list_failed(self, now):
         """A call failed or the watch broke. Ask again, ever later, so that a crowded list recovers; but soon
         enough not to count as one that has not asked."""
-        self.watching = False
         self.failures += 1
         wait = min(self.terms.ask_within // 4, self.goal << min(self.failures, 8))
         self.watch_at = now + int(wait * (0.5 + self.chance()))
         self.alarm(self.watch_at, None)
 
-    def list_came(self, now):
-        if self.terms.watched:
-            self.watching, self.failures, self.watch_at = True, 0, None
-
     def list_entry(self, now, server, state, weight, started, zone, cell):
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
@@ -332,8 +327,7 @@
             self.unanswered(now, server)
         elif how == 'refused':
             # A full server is crowded, not dead: it gets less until it answers again.
-            server.share = max(FLOOR, server.share / 2)
-            server.raised = now
+            self.halve(now, server)
         self.weigh(now, hop, how, lasted)
         self.reported(now, server, report)
         if server.origin:
@@ -366,7 +360,7 @@
     def weigh(self, now, hop, how, lasted):
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
         answers and shrinks by a quarter, once a round, when an answer takes over a third of the goal:
-        crowded caches slow down and stay so. An origin's ordinary answers take longer: there it is the whole goal."""
+        crowded caches slow down and stay so. An origin's answers take longer: there it is the goal."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         self.count(lasted < hop.tx.profile.goal // 2 and how in ('committed', 'missing'), how)
@@ -377,10 +371,15 @@
                 lasted >= most or how in ('refused', 'lost', 'error')):
             if server.bear == 1:
                 # One hop from each node keeps a jammed server jammed: let it drain, then trickle back.
-                server.share, server.raised = max(FLOOR, server.share / 2), now
+                self.halve(now, server)
             server.bear = max(1.0, min(server.bear, server.out + 1) * 0.75)
             server.eased = now
 
+    @staticmethod
+    def halve(now, server):
+        """A server that is crowded, not dead, gets half of its turns until it answers well again."""
+        server.share, server.raised = max(FLOOR, server.share / 2), now
+
     def count(self, well, how):
         """How hops end over all caches, halved once in a while."""
         if well:
@@ -652,12 +651,12 @@
                 if home and not tx.hops:
                     self.copies_left -= 1
                 return server
+            bearable = room and (urgent or not self.crowded(now, server, 1))
             if not home:
                 home = server
-                open_ = room and (urgent or not self.crowded(now, server, 1))
                 if not tx.hops and self.copies_left < 1:
-                    return server if open_ else None
-            if room and (urgent or not self.crowded(now, server, 1)):
+                    return server if bearable else None
+            if bearable:
                 if spare is None or self.load(now, server) < self.load(now, spare):
                     spare = server
         return spare
