--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -147,7 +147,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'sent', 'served', 'bear', 'eased', 'wait', 'told', 'rate')
+                 'doubt', 'raised', 'pace', 'credit', 'dated', 'served', 'bear', 'eased', 'wait', 'told', 'rate')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -160,7 +160,8 @@
         self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
         self.wait, self.told = 0, None      # the wait that its last report tells of, and when that came
         self.rate = 0                       # the best rate it told of lately, a second
-        self.pace = self.sent = self.served = None     # served: committed answers lately
+        self.credit, self.dated = 0, 0      # hops it may get while cold; when that was last filled
+        self.pace = self.served = None      # served: committed answers lately
 
 
 class Hop:
@@ -278,7 +279,8 @@
             server.bear = max(MARGIN, START * self.presence(now, server))
             server.rate = 0
             server.pace = Pace(self.unit)
-            server.sent, server.served = Meter(self.terms.fall_window), Meter(self.terms.fall_window)
+            server.served = Meter(self.terms.fall_window)
+            server.credit, server.dated = self.chance(), now
         server.state, server.weight, server.started = state, weight, started
         server.zone, server.cell = zone, cell
         self.known[server.name] = server
@@ -698,17 +700,20 @@
     # --- the gate ---------------------------------------------------------------------------------------
 
     def cold_room(self, now, server):
-        """Whether one more may go to a server that may be cold: this node's sends there, against what it
-        sees warm caches of that size serve, stay under half of the multiple that all nodes must stay under.
-        Not against sends: in an overload those are retries that nobody could bear."""
-        if server.started is None or server.origin:
-            return True
+        """Whether one more may go to a server that may be cold: what this node sees warm caches of that size
+        serve, cut by age, at half of the multiple that all nodes must stay under. Not what they are sent: in
+        an overload those are retries that nobody could bear. A node's part may be far under one hop a window,
+        and hundreds of nodes with one each are a flood: credit for a hop gathers from a start drawn by chance,
+        so that the nodes' first hops spread out as their parts add up."""
         part = self.presence(now, server)
-        if part == 1:
+        if server.origin or part == 1:
             return True
         self.survey(now)
         usual = self.usual * server.weight / 2      # a meter counts over up to two windows
-        return server.sent.count(now) < max(1, usual * part * self.terms.fall_multiple / 2)
+        rate = max(1 / self.terms.nodes, usual * part * self.terms.fall_multiple / 2)
+        gained = rate * (now - server.dated) / self.terms.fall_window
+        server.credit, server.dated = min(max(1, rate / 2), server.credit + gained), now
+        return server.credit >= 1
 
     def permitted(self, now, tx, server):
         """The four rules, for one more hop of this transaction to this server."""
@@ -736,7 +741,7 @@
         tx.hops.append(hop)
         tx.out += 1
         server.out += 1
-        server.sent.add(now)
+        server.credit -= 1
         if not server.origin:
             self.total_out += 1
         return 'send', hop, None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,9 +19,9 @@
     return SiteTerms(**given)
 
 
-def router(caches=3, origin=False, **other):
+def router(caches=3, origin=False, seed=1, **other):
     """A router that knows so many warm caches, as in router.caches, and maybe an origin."""
-    made = Router(terms(aside=origin, **other), 1, 0)
+    made = Router(terms(aside=origin, **other), seed, 0)
     for number in range(caches):
         enlist(made, 'c%d' % number)
     if origin:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -225,19 +225,30 @@
     def test_cold_gets_no_more_than_warm_serve(self):
         made = router(2)
         fresh = enlist(made, 'f', started=0)
-        for _ in range(50):     # an overload: many sends to warm caches, none of them served
-            made.caches[0].sent.add(0)
-        fresh.sent.add(0)
-        self.assertFalse(made.cold_room(0, fresh))
+        made.usual, made.surveyed = 40, 0
+        gone = 0
+        while made.cold_room(0, fresh):
+            fresh.credit -= 1
+            gone += 1
+        self.assertLess(gone, 40 / 2 * 0.2 * 3)
+
+    def test_hundreds_of_nodes_are_no_flood_for_a_fresh_server(self):
+        """Each sees warm caches serve a quarter of a hop a window: all together send what their parts make."""
+        first = 0
+        for seed in range(300):
+            made = router(2, nodes=300, seed=seed)
+            fresh = enlist(made, 'f', started=0)
+            made.usual, made.surveyed = 0.5, 10_000
+            first += made.cold_room(10_000, fresh)
+        self.assertTrue(0 < first < 300 * 0.25 * 0.28 * 3)
 
     def test_cold_budget_outlasts_the_last_warm_cache(self):
         made = router(2)
         fresh = enlist(made, 'f', started=0)
-        made.usual, made.surveyed = 40, -1
+        made.usual, made.surveyed, fresh.credit = 40, -1, 0
         for cache in made.caches:
             cache.started = 0
-        fresh.sent.add(0)
-        self.assertTrue(made.cold_room(0, fresh))
+        self.assertTrue(made.cold_room(5000, fresh))
 
     def test_restart_under_its_own_id_is_cold(self):
         made = router(2)
