Tenants' buckets hold a few transactions, so shares below one a second count

Cause, found by reading and by a test: with quota over nodes under one a second the bucket never reached 1 and all counted as excess.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -28,6 +28,7 @@
 OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
 CROWD = 1 / 3           # passed over: one that tells of a wait over this part of the goal
 START = 32.0            # hops out at one server before anything is known of it
+BURST = 4               # transactions that a tenant may be ahead of its share, where that is small
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
 MASK = (1 << 64) - 1
 
@@ -195,17 +196,20 @@
 
 
 class Tenancy:
-    """One tenant's share at this node, as a bucket that fills with the quota."""
+    """One tenant's share at this node, as a bucket that fills with the quota. It holds a second of that, but
+    a few transactions at least: a node among hundreds has far less than one a second, and must not count all
+    of them as beyond the share for coming one by one."""
 
-    __slots__ = ('rate', 'level', 'at')
+    __slots__ = ('rate', 'most', 'level', 'at')
 
     def __init__(self, per_second):
-        self.rate, self.level, self.at = per_second / 10_000, per_second, None
+        self.rate, self.most = per_second / 10_000, max(per_second, BURST)
+        self.level, self.at = self.most, None
 
     def over(self, now):
         """Count one transaction; whether it is beyond the share."""
         if self.at is not None:
-            self.level = min(self.rate * 10_000, self.level + self.rate * (now - self.at))
+            self.level = min(self.most, self.level + self.rate * (now - self.at))
         self.at = now
         if self.level < 1:
             return True
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from lilacdyke.logic import DOUBT, FLOOR, LOOKUPS, RACES, Histogram, Meter, Pace, mix
+from lilacdyke.logic import DOUBT, FLOOR, LOOKUPS, RACES, Histogram, Meter, Pace, Tenancy, mix
 
 from .helpers import KEPT, ONCE, READ, ended, enlist, out, router, taken
 
@@ -313,6 +313,11 @@
         self.assertEqual(answers, [False, True])
 
 
+    def test_share_below_one_a_second_is_still_a_share(self):
+        bucket = Tenancy(0.4)
+        self.assertEqual([bucket.over(at) for at in (0, 30_000, 60_000)], [False] * 3)
+
+
 class Health(unittest.TestCase):
     def test_silence_sets_aside(self):
         made = router(2)
