Reads go by the wait to expect at a cache; many nodes with a hop each no longer jam it

Told from the others: answers late at all caches alike, with the twin (4 nodes) in time. Now a node keeps what answers take, per server, fading into the mean over all; past a third of the goal reads are sent by a falling chance.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -148,7 +148,8 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'credit', 'dated', 'served', 'bear', 'eased', 'wait', 'told', 'rate')
+                 'doubt', 'raised', 'pace', 'credit', 'dated', 'served', 'bear', 'eased', 'wait', 'told', 'rate',
+                 'lag', 'heard')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -161,6 +162,7 @@
         self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
         self.wait, self.told = 0, None      # the wait that its last report tells of, and when that came
         self.rate = 0                       # the best rate it told of lately, a second
+        self.lag, self.heard = 0, 0         # how long its answers take lately; when that was last seen
         self.credit, self.dated = 0, 0      # hops it may get while cold; when that was last filled
         self.pace = self.served = None      # served: committed answers lately
 
@@ -238,6 +240,7 @@
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
         self.fetches = Histogram(self.unit)
+        self.lag = 0                    # how long reads at caches take lately
         self.watch_at, self.failures = 0 if terms.watched else None, 0
 
     # --- the list ---------------------------------------------------------------------------------------
@@ -281,7 +284,7 @@
             server.eased, server.wait, server.told = now, 0, None
             server.started = started
             server.bear = max(MARGIN, START * self.presence(now, server))
-            server.rate = 0
+            server.rate, server.lag = 0, self.lag
             server.pace = Pace(self.unit)
             server.served = Meter(self.terms.fall_window)
             server.credit, server.dated = self.chance(), now
@@ -335,6 +338,7 @@
             # A full server is crowded, not dead: it gets less until it answers again.
             self.halve(now, server)
         self.weigh(now, hop, how, lasted)
+        self.time(now, hop, how, lasted)
         self.reported(now, server, report)
         if server.origin:
             self.fetch_ended(now, hop, how, lasted)
@@ -381,6 +385,33 @@
             server.bear = max(1.0, min(server.bear, server.out + 1) * 0.75)
             server.eased = now
 
+    def time(self, now, hop, how, lasted):
+        """What an answer took tells what the next will wait. A refusal is as good as a goal's wait; one
+        cancelled tells no less than it lasted."""
+        server = hop.server
+        if how in ('unreachable', 'unsent') or hop.tx.write and not server.origin:
+            return
+        seen = max(lasted, self.goal) if how == 'refused' else lasted
+        if how == 'cancelled' and seen < server.lag:
+            return
+        server.lag, server.heard = (server.lag + seen) / 2, now
+        if not server.origin:
+            self.lag += (seen - self.lag) / 8
+
+    def expected(self, now, server):
+        """The wait to expect there: what was seen of it, fading into what all caches show. Hundreds of nodes
+        hear from each cache too seldom to tell by that alone."""
+        if server.origin:
+            return server.lag
+        return self.lag + (server.lag - self.lag) * 0.5 ** ((now - server.heard) / (8 * self.goal))
+
+    def welcome(self, now, tx, server, drawn):
+        """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
+        hop or less each at a server, whose sum jams it: as the expected wait passes a third of the goal they
+        send less and less, down to a trickle at two thirds; what is beyond a tenant's share gives way first."""
+        part = 3 * self.expected(now, server) / tx.profile.goal
+        return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
+
     @staticmethod
     def halve(now, server):
         """A server that is crowded, not dead, gets half of its turns until it answers well again."""
@@ -640,12 +671,12 @@
         # Writes go where reads do not, until hops fail all over: then retried writes keep an origin down.
         urgent = tx.write and self.strain() < 0.5
         busy = OVER * self.total_out / len(self.caches) + MARGIN
-        home, spare, aside = None, None, 0
+        home, spare, aside, drawn = None, None, 0, self.chance()
         for server in self.ranked(now, tx):
             if server in tried or server.state != 'ready' or not self.cold_room(now, server):
                 continue
             crowded = self.crowded(now, server, CROWD)
-            room = urgent or server.out < server.bear
+            room = urgent or server.out < server.bear and self.welcome(now, tx, server, drawn)
             if server.share < 1:
                 # Only the foremost are tried, and by chance: with all set aside, one hop of each node at each
                 # cache would keep them jammed, and a far-ranked cache would only miss.
