--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -407,9 +407,9 @@
 
     def welcome(self, now, tx, server, drawn):
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
-        hop or less each at a server, whose sum jams it: as the expected wait passes a third of the goal they
-        send less and less, down to a trickle at two thirds; what is beyond a tenant's share gives way first."""
-        part = 3 * self.expected(now, server) / tx.profile.goal
+        hop or less each at a server, whose sum jams it: as the expected wait passes half of the goal they
+        send less and less, down to a trickle at the goal; what is beyond a tenant's share gives way first."""
+        part = 2 * self.expected(now, server) / tx.profile.goal
         return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
 
     @staticmethod
