--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -356,8 +356,7 @@
         if how == 'committed':
             server.served.add(now)
         if server.share < 1 and hop.sent >= server.raised and lasted < hop.tx.profile.goal // 2:
-            server.share = min(1, server.share * 2)
-            server.raised = now
+            server.share, server.raised = min(1, 2 * self.turns(now, server)), now
         if server.origin or hop.tx.done:
             return
         first = hop.tx.hops[0]
@@ -403,7 +402,7 @@
         hear from each cache too seldom to tell by that alone."""
         if server.origin:
             return server.lag
-        return self.lag + (server.lag - self.lag) * 0.5 ** ((now - server.heard) / (8 * self.goal))
+        return self.lag + (server.lag - self.lag) * self.fade(now, server.heard)
 
     def welcome(self, now, tx, server, drawn):
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
@@ -412,10 +411,18 @@
         part = 2 * self.expected(now, server) / tx.profile.goal
         return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
 
-    @staticmethod
-    def halve(now, server):
+    def fade(self, now, since):
+        """How much of what was seen then still counts. Guards against a lock-out: a node among hundreds may
+        not get to a server often enough to learn that it is well again."""
+        return 0.5 ** ((now - since) / (8 * self.goal))
+
+    def turns(self, now, server):
+        """The part of its own keys' reads that a set-aside server gets; with no news that grows by time."""
+        return min(1, server.share / self.fade(now, server.raised))
+
+    def halve(self, now, server):
         """A server that is crowded, not dead, gets half of its turns until it answers well again."""
-        server.share, server.raised = max(FLOOR, server.share / 2), now
+        server.share, server.raised = max(FLOOR, self.turns(now, server) / 2), now
 
     def count(self, well, how):
         """How hops end over all caches, halved once in a while."""
@@ -435,7 +442,7 @@
         """Guards against servers that are dead, cut off, or take work and answer nothing."""
         server.doubt += 1
         if server.share < 1 or server.doubt >= DOUBT:
-            if server.share == 1:
+            if self.turns(now, server) == 1:
                 self.logs.append('set aside: %s, %d hops unanswered; a trickle tries it' % (
                     server.name, server.doubt))
             server.share, server.raised = FLOOR, now
@@ -677,11 +684,12 @@
                 continue
             crowded = self.crowded(now, server, CROWD)
             room = urgent or server.out < server.bear and self.welcome(now, tx, server, drawn)
-            if server.share < 1:
+            turns = self.turns(now, server)
+            if turns < 1:
                 # Only the foremost are tried, and by chance: with all set aside, one hop of each node at each
                 # cache would keep them jammed, and a far-ranked cache would only miss.
                 aside += 1
-                if aside > self.terms.max_hops or self.chance() >= server.share:
+                if aside > self.terms.max_hops or self.chance() >= turns:
                     spare = spare or (server if urgent else None)
                     continue
             if room and server.out <= busy and not crowded:
@@ -700,7 +708,7 @@
 
     def load(self, now, server):
         """How loaded a server is by this node, for its size and age; the set-aside come last."""
-        return server.share < 1, (server.out + 1) / (server.weight * self.presence(now, server) + 1e-9)
+        return self.turns(now, server) < 1, (server.out + 1) / (server.weight * self.presence(now, server) + 1e-9)
 
     def ranked(self, now, tx):
         """Weighted rendezvous: size and age set how many keys a cache wins; others' keys do not move."""
