--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -240,7 +240,7 @@
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
         self.fetches = Histogram(self.unit)
-        self.lag = 0                    # how long reads at caches take lately
+        self.lag, self.heard = 0, 0     # how long reads at caches take lately; when one was last seen
         self.watch_at, self.failures = 0 if terms.watched else None, 0
 
     # --- the list ---------------------------------------------------------------------------------------
@@ -386,29 +386,32 @@
 
     def time(self, now, hop, how, lasted):
         """What an answer took tells what the next will wait. A refusal is as good as a goal's wait; one
-        cancelled tells no less than it lasted."""
+        cancelled tells no less than it lasted; over the goal all are alike."""
         server = hop.server
         if how in ('unreachable', 'unsent') or hop.tx.write and not server.origin:
             return
-        seen = max(lasted, self.goal) if how == 'refused' else lasted
+        seen = hop.tx.profile.goal if how == 'refused' else min(lasted, hop.tx.profile.goal)
         if how == 'cancelled' and seen < server.lag:
             return
         server.lag, server.heard = (server.lag + seen) / 2, now
         if not server.origin:
-            self.lag += (seen - self.lag) / 8
+            before = self.lag * self.fade(now, self.heard)
+            self.lag, self.heard = before + (seen - before) / 8, now
 
     def expected(self, now, server):
         """The wait to expect there: what was seen of it, fading into what all caches show. Hundreds of nodes
-        hear from each cache too seldom to tell by that alone."""
+        hear from each cache too seldom to tell by that alone. All of it fades: a trickle would not tell in
+        time that a jam is over."""
         if server.origin:
             return server.lag
-        return self.lag + (server.lag - self.lag) * self.fade(now, server.heard)
+        usual = self.lag * self.fade(now, self.heard)
+        return usual + (server.lag - usual) * self.fade(now, server.heard)
 
     def welcome(self, now, tx, server, drawn):
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
-        hop or less each at a server, whose sum jams it: as the expected wait passes half of the goal they
-        send less and less, down to a trickle at the goal; what is beyond a tenant's share gives way first."""
-        part = 2 * self.expected(now, server) / tx.profile.goal
+        hop or less each at a server, whose sum jams it: as the expected wait passes a third of the goal they
+        send less and less, down to a trickle at two thirds; what is beyond a tenant's share gives way first."""
+        part = 3 * self.expected(now, server) / tx.profile.goal
         return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
 
     def fade(self, now, since):
