Idle connections are closed where opening anew would have cost less

Now a connection left without a hop is closed at once when this node's mean interval there is longer than the time in which keeping it costs what opening it does, by the settings' prices and the rate seen.

--- a/lilacdyke/benchlink/decode.py
+++ b/lilacdyke/benchlink/decode.py
@@ -69,6 +69,8 @@
         fall_window=up(_find(tree, 'safety.overloadForS', real)),
         cold_from=_find(tree, 'safety.coldFrom', real),
         warm_up=up(_find(tree, 'safety.warmUpS', real)),
-        tick=up(_find(tree, 'tickS', real)))
+        tick=up(_find(tree, 'tickS', real)),
+        open_price=_find(tree, 'fees.handshake', real),
+        keep_price=_find(tree, 'fees.connection', real))
     origin_kind = _find(tree, 'familyInfo.originKind', int) if terms.aside else -1
     return terms, _find(tree, 'rank', int), origin_kind
--- a/lilacdyke/benchlink/serve.py
+++ b/lilacdyke/benchlink/serve.py
@@ -158,6 +158,10 @@
         """Ask a server how it is."""
         write('ASK_LOAD\t%d\t%s\n' % (self.number, server.name))
 
+    def write_close(self, write, server):
+        """Idle connections are not kept."""
+        write('DISCONNECT\t%d\t%s\n' % (self.number, server.name))
+
     def write_wake(self, write, when):
         """Ask to be woken."""
         write('REMIND\t%d\t%s\t0\n' % (self.number, seconds(when)))
--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -9,6 +9,7 @@
     ('roll_back', tx, after)  final answer: trying again is harmless, best after so long (0: no hint)
     ('abandon', tx)           final answer: nothing is promised
     ('watch',)                ask for the list's changes; ('wake', when) call woken() then
+    ('close', server)         close the connections to it that are idle
     ('probe', server) and ('log', text)
 The host passes the first committed answer on by itself. Times are whole tenths of a millisecond.
 """
@@ -149,7 +150,7 @@
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
                  'doubt', 'raised', 'pace', 'credit', 'dated', 'served', 'bear', 'eased', 'wait', 'told', 'rate',
-                 'lag', 'heard')
+                 'lag', 'heard', 'last', 'every')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -163,6 +164,7 @@
         self.wait, self.told = 0, None      # the wait that its last report tells of, and when that came
         self.rate = 0                       # the best rate it told of lately, a second
         self.lag, self.heard = 0, 0         # how long its answers take lately; when that was last seen
+        self.last, self.every = 0, 0        # when this node last sent there, and how often it does
         self.credit, self.dated = 0, 0      # hops it may get while cold; when that was last filled
         self.pace = self.served = None      # served: committed answers lately
 
@@ -231,7 +233,8 @@
         self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
         self.caches, self.origin, self.known = [], None, {}
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
-        self.logs = deque()
+        self.logs, self.idle = deque(), deque()     # idle: servers whose connections may not be worth keeping
+        self.last, self.every = 0, 0                # when the last transaction came, and how often they do
         self.copies_left = 1.0
         self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
         # When the caches were surveyed; the most that warm ones served, a weight; what all bear.
@@ -284,7 +287,7 @@
             server.eased, server.wait, server.told = now, 0, None
             server.started = started
             server.bear = max(MARGIN, START * self.presence(now, server))
-            server.rate, server.lag = 0, self.lag
+            server.rate, server.lag, server.last = 0, self.lag, now
             server.pace = Pace(self.unit)
             server.served = Meter(self.terms.fall_window)
             server.credit, server.dated = self.chance(), now
@@ -302,6 +305,7 @@
 
     def take(self, now, row, tenant, key, limit, write):
         """A transaction arrives; one final answer is owed from here on."""
+        self.last, self.every = now, (7 * self.every + now - self.last) / 8 if self.last else 0
         mark = crc32(key.encode()) if key is not None else int(self.chance() * (1 << 32))
         tx = Tx(self.terms.profiles[row], tenant, key, mark, now, limit, write)
         if self.tenancies:
@@ -312,6 +316,12 @@
         self.alarm(limit, tx)
         return tx
 
+    def worth_keeping(self):
+        """How long a connection may lie idle before opening it anew would have cost less. Guards against full
+        tables: each cache admits far fewer connections than hundreds of nodes hold when each keeps its own."""
+        prices = self.terms.open_price, self.terms.keep_price * self.terms.nodes
+        return prices[0] * 100 * len(self.caches) * self.every / prices[1] if prices[1] else float('inf')
+
     def client_gone(self, now, tx):
         """Nothing more is owed."""
         self.finish(now, tx)
@@ -329,6 +339,8 @@
         server.out -= 1
         if not server.origin and server.state == 'ready':
             self.total_out -= 1
+        if not server.out and server.every > self.worth_keeping():
+            self.idle.append(server)
         hop.ran = how not in NEVER_RAN
         if how in ('committed', 'missing', 'error'):
             self.answered(now, hop, lasted, how, note)
@@ -539,6 +551,10 @@
             if decision:
                 return decision
             self.ready.popleft()
+        while self.idle:
+            server = self.idle.popleft()
+            if not server.out:
+                return 'close', server
         if self.alarms and (self.asked is None or self.alarms[0][0] < self.asked):
             self.asked = self.alarms[0][0]
             return 'wake', self.asked
@@ -788,6 +804,7 @@
         tx.out += 1
         server.out += 1
         server.credit -= 1
+        server.last, server.every = now, (server.every + now - server.last) / 2
         if not server.origin:
             self.total_out += 1
         return 'send', hop, None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,7 @@
                   Profile('once', NON_IDEMPOTENT, 'all', 0, 5000, 0)],
         tenants=[], nodes=2, zone=0, aside=False, watched=False, may_copy=True, may_cancel=True, max_hops=5,
         max_return=0, ask_within=100_000, fall_multiple=3, fall_window=10_000, cold_from=0.2,
-        warm_up=100_000, tick=10)
+        warm_up=100_000, tick=10, open_price=0, keep_price=0)
     given.update(other)
     return SiteTerms(**given)
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -359,6 +359,23 @@
         self.assertLess(made.caches[0].bear, 2)
 
 
+class Connections(unittest.TestCase):
+    def closed(self, nodes, every):
+        """Whether the connection is closed once the only hop there has ended; a transaction each 100 ms."""
+        made = router(2, nodes=nodes, open_price=0.03, keep_price=0.03)
+        tx, server = taken(made), made.caches[0]
+        made.every, server.every = 1000, every
+        hop = out(made, tx, server)
+        made.hop_ended(10, hop, 'committed', 10, True, 0, None)
+        return server in made.idle
+
+    def test_hundreds_of_nodes_do_not_keep_what_they_seldom_use(self):
+        self.assertEqual([self.closed(300, every) for every in (500, 50_000)], [False, True])
+
+    def test_a_few_nodes_keep_theirs(self):
+        self.assertFalse(self.closed(3, 50_000))
+
+
 class Origin(unittest.TestCase):
     def test_reads_of_one_key_share_a_fetch(self):
         made = router(2, origin=True)
