Under strain reads are cut at their goal; fetches go by the origin's expected wait

Once a quarter of hops end late or badly, a read's hop at a cache ends at its goal and the transaction is rolled back.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -344,7 +344,8 @@
         hop.ran = how not in NEVER_RAN
         if how in ('committed', 'missing', 'error'):
             self.answered(now, hop, lasted, how, note)
-        elif how in ('unreachable', 'lost', 'expired') or how == 'cancelled' and hop.dropped:
+        elif (how in ('unreachable', 'lost') or how == 'expired' and now >= tx.limit
+              or how == 'cancelled' and hop.dropped):
             self.unanswered(now, server)
         elif how == 'refused':
             # A full server is crowded, not dead: it gets less until it answers again.
@@ -423,7 +424,7 @@
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
         hop or less each at a server, whose sum jams it: as the expected wait passes a third of the goal they
         send less and less, down to a trickle at two thirds; what is beyond a tenant's share gives way first."""
-        part = 3 * self.expected(now, server) / tx.profile.goal
+        part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
         return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
 
     def fade(self, now, since):
@@ -575,6 +576,8 @@
             return self.step_waiting(now, tx)
         if tx.write or tx.profile.effect != IDEMPOTENT:
             return self.step_once(now, tx)
+        if tx.hops and now >= self.patience(tx) and tx.hops[-1].ran:
+            return self.give_up(now, tx)
         if tx.missed and not tx.again:
             return self.step_fetch(now, tx)
         return self.step_read(now, tx, False)
@@ -667,6 +670,8 @@
             return self.hold(tx)
         if not self.origin:
             return self.give_up(now, tx)
+        if not self.welcome(now, tx, self.origin, self.chance()):
+            return self.give_up(now, tx)
         if self.origin.out >= self.origin.bear:
             mean = self.fetches.spread()[0] or self.goal // 4
             if now + mean * (1 + (len(self.queue) + 1) / self.origin.bear) > self.patience(tx):
@@ -807,7 +812,9 @@
         server.last, server.every = now, (server.every + now - server.last) / 2
         if not server.origin:
             self.total_out += 1
-        return 'send', hop, None
+        if server.origin or tx.write or tx.profile.effect != IDEMPOTENT or self.strain() < 0.25:
+            return 'send', hop, None
+        return 'send', hop, max(1, self.patience(tx) - now)
 
     def give_up(self, now, tx):
         """The one place that gives a final answer: a roll-back where trying again is harmless."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -401,6 +401,39 @@
         self.assertTrue(tx.queued and not tx.hops)
 
 
+    def test_fetches_give_way_where_writes_would_come_late(self):
+        made = router(2, origin=True)
+        made.origin.lag, made.chance, tx = made.goal, lambda: 0.5, taken(made)
+        tx.missed = made.caches[0]
+        self.assertEqual(made.step_fetch(0, tx)[0], 'roll_back')
+
+
+class Wait(unittest.TestCase):
+    def test_many_nodes_send_less_as_the_expected_wait_grows(self):
+        """No node has a hop out, yet all caches are jammed by the sum of them."""
+        made = router(3)
+        made.lag, tx, sent = made.goal, taken(made), []
+        for made.lag in (made.goal // 4, made.goal // 2, made.goal):
+            sent.append(sum(made.welcome(0, tx, made.caches[0], turn / 100) for turn in range(100)))
+        self.assertEqual((sent[0], 40 < sent[1] < 60, sent[2]), (100, True, 4))
+
+    def test_the_wait_is_forgotten(self):
+        """A trickle brings too few answers to learn that a jam is over."""
+        made = router(3)
+        made.lag = made.caches[0].lag = made.goal
+        self.assertLess(made.expected(3 * 8 * made.goal, made.caches[0]), made.goal / 7)
+
+    def test_under_strain_a_read_is_cut_at_its_goal(self):
+        made = router(3)
+        made.poor, tx = 10, taken(made)
+        self.assertEqual(made.send(100, tx, made.caches[0], False)[2], made.goal - 100)
+
+    def test_fetches_are_not_cut_as_the_origin_works_on(self):
+        made = router(3, origin=True)
+        made.poor, tx = 10, taken(made)
+        self.assertIsNone(made.send(100, tx, made.origin, False)[2])
+
+
 class List(unittest.TestCase):
     def test_asked_for_at_the_start(self):
         self.assertEqual(router(0, watched=True).decide(0), ('watch',))
