--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -351,7 +351,8 @@
             # A full server is crowded, not dead: it gets less until it answers again.
             self.halve(now, server)
         self.weigh(now, hop, how, lasted)
-        self.time(now, hop, how, lasted)
+        if self.terms.aside or note < 2:        # in through mode an ordinary miss waits for the origin
+            self.time(now, hop, how, lasted)
         self.reported(now, server, report)
         if server.origin:
             self.fetch_ended(now, hop, how, lasted)
