--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -351,8 +351,7 @@
             # A full server is crowded, not dead: it gets less until it answers again.
             self.halve(now, server)
         self.weigh(now, hop, how, lasted)
-        if self.terms.aside or note < 2:        # in through mode an ordinary miss waits for the origin
-            self.time(now, hop, how, lasted)
+        self.time(now, hop, how, lasted)
         self.reported(now, server, report)
         if server.origin:
             self.fetch_ended(now, hop, how, lasted)
@@ -407,10 +406,11 @@
         seen = hop.tx.profile.goal if how == 'refused' else min(lasted, hop.tx.profile.goal)
         if how == 'cancelled' and seen < server.lag:
             return
-        server.lag, server.heard = (server.lag + seen) / 2, now
+        server.lag += (seen - server.lag) / (2 if seen < server.lag else 4)
+        server.heard = now
         if not server.origin:
             before = self.lag * self.fade(now, self.heard)
-            self.lag, self.heard = before + (seen - before) / 8, now
+            self.lag, self.heard = before + (seen - before) / (8 if seen < before else 16), now
 
     def expected(self, now, server):
         """The wait to expect there: what was seen of it, fading into what all caches show. Hundreds of nodes
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -414,6 +414,7 @@
         made = router(3)
         made.lag, tx, sent = made.goal, taken(made), []
         for made.lag in (made.goal // 4, made.goal // 2, made.goal):
+            made.caches[0].lag = made.lag
             sent.append(sum(made.welcome(0, tx, made.caches[0], turn / 100) for turn in range(100)))
         self.assertEqual((sent[0], 40 < sent[1] < 60, sent[2]), (100, True, 4))
 
