--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -410,7 +410,7 @@
         server.heard = now
         if not server.origin:
             before = self.lag * self.fade(now, self.heard)
-            self.lag, self.heard = before + (seen - before) / (8 if seen < before else 16), now
+            self.lag, self.heard = before + (seen - before) / 8, now
 
     def expected(self, now, server):
         """The wait to expect there: what was seen of it, fading into what all caches show. Hundreds of nodes
