--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -27,7 +27,6 @@
 DOUBT = 4               # unanswered hops in a row that set a server aside
 RACES, LOOKUPS = 16, 32  # the paper's windows
 OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
-CROWD = 1 / 3           # passed over: one that tells of a wait over this part of the goal
 START = 32.0            # hops out at one server before anything is known of it
 BURST = 4               # transactions that a tenant may be ahead of its share, where that is small
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
@@ -149,7 +148,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'credit', 'dated', 'served', 'bear', 'eased', 'wait', 'told', 'rate',
+                 'doubt', 'raised', 'pace', 'credit', 'dated', 'served', 'bear', 'eased',
                  'lag', 'heard', 'last', 'every')
 
     def __init__(self, name, origin):
@@ -161,8 +160,6 @@
         self.doubt = 0          # hops unanswered in a row
         self.raised = 0         # when its share was last raised
         self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
-        self.wait, self.told = 0, None      # the wait that its last report tells of, and when that came
-        self.rate = 0                       # the best rate it told of lately, a second
         self.lag, self.heard = 0, 0         # how long its answers take lately; when that was last seen
         self.last, self.every = 0, 0        # when this node last sent there, and how often it does
         self.credit, self.dated = 0, 0      # hops it may get while cold; when that was last filled
@@ -284,10 +281,10 @@
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised = 1, 0, now
-            server.eased, server.wait, server.told = now, 0, None
+            server.eased = now
             server.started = started
             server.bear = max(MARGIN, START * self.presence(now, server))
-            server.rate, server.lag, server.last = 0, self.lag, now
+            server.lag, server.last = self.lag, now
             server.pace = Pace(self.unit)
             server.served = Meter(self.terms.fall_window)
             server.credit, server.dated = self.chance(), now
@@ -352,7 +349,6 @@
             self.halve(now, server)
         self.weigh(now, hop, how, lasted)
         self.time(now, hop, how, lasted)
-        self.reported(now, server, report)
         if server.origin:
             self.fetch_ended(now, hop, how, lasted)
         if how == 'missing' and not server.origin:
@@ -503,23 +499,7 @@
             self.asked = None
 
     def probe_ended(self, now, server, answered, lasted, report):
-        """A probe's result."""
-        self.reported(now, server, report)
-
-    def reported(self, now, server, report):
-        """A load report: what waits there, times what one takes, is what a newcomer waits. One takes no
-        longer than the quick quarter of answers, nor than at the best rate told of lately: the rate of an
-        idle server is that of its callers."""
-        if report and 'queue' in report and server.pace:
-            server.rate = max(report.get('qps', 0), 0.95 * server.rate)
-            each = server.pace.answers.quantile(0.25) if server.pace.answers.total else self.goal
-            if server.rate > 0:
-                each = min(each, 10_000 / server.rate)
-            server.wait, server.told = int(max(0, report['queue']) * each), now
-
-    def crowded(self, now, server, part):
-        """Whether it told of a wait over a part of the goal, and not so long ago that it may be over."""
-        return server.told is not None and server.wait > part * self.goal and now - server.told < self.goal
+        """A probe's result: none are sent, as what answers take tells enough."""
 
     def peer_said(self, now, author, body):
         """A message from another node: none are sent, so none are understood."""
@@ -707,7 +687,6 @@
         for server in self.ranked(now, tx):
             if server in tried or server.state != 'ready' or not self.cold_room(now, server):
                 continue
-            crowded = self.crowded(now, server, CROWD)
             room = urgent or server.out < server.bear and self.welcome(now, tx, server, drawn)
             turns = self.turns(now, server)
             if turns < 1:
@@ -717,18 +696,16 @@
                 if aside > self.terms.max_hops or self.chance() >= turns:
                     spare = spare or (server if urgent else None)
                     continue
-            if room and server.out <= busy and not crowded:
+            if room and server.out <= busy:
                 if home and not tx.hops:
                     self.copies_left -= 1
                 return server
-            bearable = room and (urgent or not self.crowded(now, server, 1))
             if not home:
                 home = server
                 if not tx.hops and self.copies_left < 1:
-                    return server if bearable else None
-            if bearable:
-                if spare is None or self.load(now, server) < self.load(now, spare):
-                    spare = server
+                    return server if room else None
+            if room and (spare is None or self.load(now, server) < self.load(now, spare)):
+                spare = server
         return spare
 
     def load(self, now, server):
