--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -420,7 +420,11 @@
     def welcome(self, now, tx, server, drawn):
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
         hop or less each at a server, whose sum jams it: as the expected wait passes a third of the goal they
-        send less and less, down to a trickle at two thirds; what is beyond a tenant's share gives way first."""
+        send less and less, down to a trickle at two thirds; what is beyond a tenant's share gives way first.
+        A node with a transaction or more for each cache in a goal's time keeps to its own bound on hops out,
+        which knows better; the origin gets the sum of all nodes in any case."""
+        if not server.origin and self.every * len(self.caches) <= self.goal:
+            return True
         part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
         return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -401,12 +401,18 @@
     def test_many_nodes_send_less_as_the_expected_wait_grows(self):
         """No node has a hop out, yet all caches are jammed by the sum of them."""
         made = router(3)
-        made.lag, tx, sent = made.goal, taken(made), []
+        made.every, tx, sent = made.goal, taken(made), []
         for made.lag in (made.goal // 4, made.goal // 2, made.goal):
             made.caches[0].lag = made.lag
             sent.append(sum(made.welcome(0, tx, made.caches[0], turn / 100) for turn in range(100)))
         self.assertEqual((sent[0], 40 < sent[1] < 60, sent[2]), (100, True, 4))
 
+    def test_a_node_with_enough_of_its_own_keeps_to_its_bound(self):
+        made = router(3)
+        made.every, tx = made.goal // 4, taken(made)
+        made.lag = made.caches[0].lag = made.goal
+        self.assertTrue(made.welcome(0, tx, made.caches[0], 0.9))
+
     def test_the_wait_is_forgotten(self):
         """A trickle brings too few answers to learn that a jam is over."""
         made = router(3)
