--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -2,15 +2,15 @@
 
 How to call it. One Router an instance, built from the site's terms, a seed and the node's rank. Inputs
 (list_changed, list_replaced, list_remembered, list_failed, take, hop_started, hop_ended, client_gone,
-woken, probe_ended, peer_said) take the present time and only update what is known. After them the host
-pulls `decide(now)` until it gives None; each decision is a tuple led by a verb:
+woken) take the present time and only update what is known. After them the host pulls `decide(now)` until it
+gives None; each decision is a tuple led by a verb:
     ('send', hop, patience)   start this hop, to hop.server, timed out after patience (None: at the limit)
     ('cancel', hop)           stop waiting for this hop
     ('roll_back', tx, after)  final answer: trying again is harmless, best after so long (0: no hint)
     ('abandon', tx)           final answer: nothing is promised
     ('watch',)                ask for the list's changes; ('wake', when) call woken() then
     ('close', server)         close the connections to it that are idle
-    ('probe', server) and ('log', text)
+    ('log', text)             a line for staff
 The host passes the first committed answer on by itself. Times are whole tenths of a millisecond.
 """
 
@@ -84,30 +84,6 @@
         return int(mean), int(square ** 0.5)
 
 
-class Meter:
-    """How much went out lately: counts over the present and the last slice of a window."""
-
-    __slots__ = ('window', 'slice', 'now', 'last')
-
-    def __init__(self, window):
-        self.window, self.slice, self.now, self.last = max(1, window), 0, 0, 0
-
-    def roll(self, now):
-        index = now // self.window
-        if index != self.slice:
-            self.last = self.now if index == self.slice + 1 else 0
-            self.now, self.slice = 0, index
-
-    def add(self, now):
-        self.roll(now)
-        self.now += 1
-
-    def count(self, now):
-        """At least what went out within any one window that ends now."""
-        self.roll(now)
-        return self.now + self.last
-
-
 class Pace:
     """When a copy follows a first hop to one cache: the paper's three rules."""
 
@@ -148,7 +124,7 @@
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'credit', 'dated', 'served', 'bear', 'eased',
+                 'doubt', 'raised', 'pace', 'credit', 'dated', 'bear', 'eased',
                  'lag', 'heard', 'last', 'every')
 
     def __init__(self, name, origin):
@@ -163,7 +139,7 @@
         self.lag, self.heard = 0, 0         # how long its answers take lately; when that was last seen
         self.last, self.every = 0, 0        # when this node last sent there, and how often it does
         self.credit, self.dated = 0, 0      # hops it may get while cold; when that was last filled
-        self.pace = self.served = None      # served: committed answers lately
+        self.pace = None
 
 
 class Hop:
@@ -198,8 +174,7 @@
 
 class Tenancy:
     """One tenant's share at this node, as a bucket that fills with the quota. It holds a second of that, but
-    a few transactions at least: a node among hundreds has far less than one a second, and must not count all
-    of them as beyond the share for coming one by one."""
+    a few transactions at least: the part of a node among hundreds is under one a second."""
 
     __slots__ = ('rate', 'most', 'level', 'at')
 
@@ -234,8 +209,9 @@
         self.last, self.every = 0, 0                # when the last transaction came, and how often they do
         self.copies_left = 1.0
         self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
-        # When the caches were surveyed; the most that warm ones served, a weight; what all bear.
+        # When the caches were surveyed; the most that warm ones served in a window, a weight; what all bear.
         self.surveyed, self.usual, self.borne = None, 0, 0
+        self.served, self.window = 0, None      # what warm caches served in the present window; its start
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
@@ -248,9 +224,7 @@
     def list_changed(self, now, entries):
         """Changes to the list."""
         self.failures, self.watch_at = 0, None
-        for entry in entries:
-            self.list_entry(now, *entry)
-        self.relist()
+        self.list_remembered(now, entries)
 
     def list_replaced(self, now, entries):
         """The whole list: what it lacks is gone."""
@@ -259,9 +233,7 @@
         for server in self.known.values():
             if server.name not in named:
                 server.state = 'gone'
-        for entry in entries:
-            self.list_entry(now, *entry)
-        self.relist()
+        self.list_remembered(now, entries)
 
     def list_remembered(self, now, entries):
         """What a node held before it was restarted: to be used until it is told better."""
@@ -280,13 +252,11 @@
     def list_entry(self, now, server, state, weight, started, zone, cell):
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
-            server.share, server.doubt, server.raised = 1, 0, now
-            server.eased = now
+            server.share, server.doubt, server.raised, server.eased = 1, 0, now, now
             server.started = started
             server.bear = max(MARGIN, START * self.presence(now, server))
             server.lag, server.last = self.lag, now
             server.pace = Pace(self.unit)
-            server.served = Meter(self.terms.fall_window)
             server.credit, server.dated = self.chance(), now
         server.state, server.weight, server.started = state, weight, started
         server.zone, server.cell = zone, cell
@@ -315,9 +285,9 @@
 
     def worth_keeping(self):
         """How long a connection may lie idle before opening it anew would have cost less. Guards against full
-        tables: each cache admits far fewer connections than hundreds of nodes hold when each keeps its own."""
-        prices = self.terms.open_price, self.terms.keep_price * self.terms.nodes
-        return prices[0] * 100 * len(self.caches) * self.every / prices[1] if prices[1] else float('inf')
+        tables: a cache admits far fewer than hundreds of nodes hold when each keeps its own."""
+        price = self.terms.keep_price * self.terms.nodes
+        return self.terms.open_price * 100 * len(self.caches) * self.every / price if price else float('inf')
 
     def client_gone(self, now, tx):
         """Nothing more is owed."""
@@ -328,8 +298,8 @@
         hop.dropped = True
         self.finish(now, hop.tx)
 
-    def hop_ended(self, now, hop, how, lasted, final, note, report):
-        """A hop's one ending. final: the transaction has ended too, by this or before."""
+    def hop_ended(self, now, hop, how, lasted, final, note):
+        """A hop's one ending. final: the transaction has ended too."""
         tx, server = hop.tx, hop.server
         hop.out = False
         tx.out -= 1
@@ -362,8 +332,8 @@
         """The server lives: its trickle doubles once a round trip, and its answer times the copies."""
         server = hop.server
         server.doubt = 0
-        if how == 'committed':
-            server.served.add(now)
+        if how == 'committed' and not server.origin and self.presence(now, server) == 1:
+            self.served += 1
         if server.share < 1 and hop.sent >= server.raised and lasted < hop.tx.profile.goal // 2:
             server.share, server.raised = min(1, 2 * self.turns(now, server)), now
         if server.origin or hop.tx.done:
@@ -381,8 +351,13 @@
         crowded caches slow down and stay so. An origin's answers take longer: there it is the goal."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
-        self.count(lasted < hop.tx.profile.goal // 2 and how in ('committed', 'missing'), how)
-        if lasted < most and how in ('committed', 'missing'):
+        answered = how in ('committed', 'missing')
+        well = answered and lasted < hop.tx.profile.goal // 2
+        self.smooth += well
+        self.poor += not well and how not in ('unsent', 'cancelled')
+        if self.smooth + self.poor > Histogram.KEPT:
+            self.smooth, self.poor = self.smooth / 2, self.poor / 2
+        if answered and lasted < most:
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
         elif hop.sent >= server.eased and how != 'unsent' and (
@@ -394,8 +369,7 @@
             server.eased = now
 
     def time(self, now, hop, how, lasted):
-        """What an answer took tells what the next will wait. A refusal is as good as a goal's wait; one
-        cancelled tells no less than it lasted; over the goal all are alike."""
+        """What an answer took tells what the next will wait; a refusal is as good as a goal's wait."""
         server = hop.server
         if how in ('unreachable', 'unsent') or hop.tx.write and not server.origin:
             return
@@ -409,20 +383,16 @@
             self.lag, self.heard = before + (seen - before) / 8, now
 
     def expected(self, now, server):
-        """The wait to expect there: what was seen of it, fading into what all caches show. Hundreds of nodes
-        hear from each cache too seldom to tell by that alone. All of it fades: a trickle would not tell in
-        time that a jam is over."""
-        if server.origin:
-            return server.lag
-        usual = self.lag * self.fade(now, self.heard)
+        """The wait to expect there: what was seen of it, fading into what all caches show, as a node of many
+        hears from each too seldom. That fades too: a trickle would not tell in time that a jam is over."""
+        usual = 0 if server.origin else self.lag * self.fade(now, self.heard)
         return usual + (server.lag - usual) * self.fade(now, server.heard)
 
     def welcome(self, now, tx, server, drawn):
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
-        hop or less each at a server, whose sum jams it: as the expected wait passes a third of the goal they
-        send less and less, down to a trickle at two thirds; what is beyond a tenant's share gives way first.
-        A node with a transaction or more for each cache in a goal's time keeps to its own bound on hops out,
-        which knows better; the origin gets the sum of all nodes in any case."""
+        hop or less each, whose sum jams a server: as the expected wait passes a third of the goal they send
+        less and less, down to a trickle at two thirds; what is beyond a tenant's share goes first. A node
+        with a transaction or more a cache in a goal keeps to its bound on hops out, which knows better."""
         if not server.origin and self.every * len(self.caches) <= self.goal:
             return True
         part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
@@ -441,15 +411,6 @@
         """A server that is crowded, not dead, gets half of its turns until it answers well again."""
         server.share, server.raised = max(FLOOR, self.turns(now, server) / 2), now
 
-    def count(self, well, how):
-        """How hops end over all caches, halved once in a while."""
-        if well:
-            self.smooth += 1
-        elif how not in ('unsent', 'cancelled'):
-            self.poor += 1
-        if self.smooth + self.poor > Histogram.KEPT:
-            self.smooth, self.poor = self.smooth / 2, self.poor / 2
-
     def strain(self):
         """The share of hops that end late or badly. The paper's copies presume that slowness is rare and
         uncorrelated: with half of the hops in trouble, more hops only add to it."""
@@ -458,10 +419,12 @@
     def unanswered(self, now, server):
         """Guards against servers that are dead, cut off, or take work and answer nothing."""
         server.doubt += 1
-        if server.share < 1 or server.doubt >= DOUBT:
-            if self.turns(now, server) == 1:
-                self.logs.append('set aside: %s, %d hops unanswered; a trickle tries it' % (
-                    server.name, server.doubt))
+        turns = self.turns(now, server)
+        if turns < 1 or server.doubt >= DOUBT:
+            if turns == 1:
+                full = -log(FLOOR, 2) * 8 * self.goal // 10_000
+                self.logs.append('set aside: %s, %d hops unanswered; a trickle tries it, in full in %d s '
+                                 'unless silent again' % (server.name, server.doubt, full))
             server.share, server.raised = FLOOR, now
 
     def finish(self, now, tx):
@@ -495,23 +458,15 @@
                 tx.held, tx.again = False, tx.missed
                 self.rouse(tx)
 
-    # --- other inputs -----------------------------------------------------------------------------------
-
     def woken(self, now):
         """A wake-up that was asked for."""
         if self.asked is not None and now >= self.asked:
             self.asked = None
 
-    def probe_ended(self, now, server, answered, lasted, report):
-        """A probe's result: none are sent, as what answers take tells enough."""
-
-    def peer_said(self, now, author, body):
-        """A message from another node: none are sent, so none are understood."""
-
     # --- deciding ---------------------------------------------------------------------------------------
 
     def rouse(self, tx):
-        """Look at this transaction at the next pull."""
+        """Look at it at the next pull."""
         self.ready.append(tx)
 
     def alarm(self, when, tx):
@@ -590,12 +545,9 @@
             return None
         if tx.missed:
             return self.step_fetch(now, tx)
-        if self.copies_left < 1:
-            return None
-        decision = self.step_read(now, tx, True)
+        decision = self.step_read(now, tx, True) if self.copies_left >= 1 else None
         if decision:
-            self.copies_left -= 1
-            tx.copied = True
+            self.copies_left, tx.copied = self.copies_left - 1, True
         return decision
 
     def may_copy(self, tx):
@@ -607,8 +559,7 @@
         if not (copy or tx.again or tx.missed or self.afford(tx)):
             return self.give_up(now, tx)
         server = tx.again or self.pick(now, tx)
-        tx.again = None
-        decision = None
+        tx.again = decision = None
         spare = 1 if self.terms.aside else 0        # a miss needs one more hop, to the origin
         if server and len(tx.hops) < self.terms.max_hops - spare:
             decision = self.send(now, tx, server, copy)
@@ -633,15 +584,12 @@
         when many hops fail, as when the origin behind all caches does."""
         if not tx.hops or not tx.hops[-1].ran:
             return True
-        if self.copies_left < 1:
-            return False
-        self.copies_left -= 1
-        return True
+        paid = self.copies_left >= 1
+        self.copies_left -= paid
+        return paid
 
     def step_once(self, now, tx):
         """Writes and what must not run twice go once, and again only after proof that they did not run."""
-        if tx.next is not None and now < tx.next:
-            return None
         server = self.origin if self.terms.aside and tx.write else self.pick(now, tx)
         decision = server and self.afford(tx) and self.send(now, tx, server, False)
         return decision or self.give_up(now, tx)
@@ -679,8 +627,8 @@
     def pick(self, now, tx):
         """The best-ranked cache not yet tried, passing over those far busier than the mean or set aside.
 
-        A read passed over is likely a miss where it lands, and the origin bears few of those: like a copy it
-        takes from the budget, and without budget it stays with its home or is turned away."""
+        A read passed over is likely a miss where it lands, and the origin bears few: like a copy it takes
+        from the budget; without budget it stays with its home or is turned away."""
         if not self.caches:
             return None
         tried = [hop.server for hop in tx.hops]
@@ -694,8 +642,7 @@
             room = urgent or server.out < server.bear and self.welcome(now, tx, server, drawn)
             turns = self.turns(now, server)
             if turns < 1:
-                # Only the foremost are tried, and by chance: with all set aside, one hop of each node at each
-                # cache would keep them jammed, and a far-ranked cache would only miss.
+                # Only the foremost, and by chance: a hop of each node at each would keep all jammed.
                 aside += 1
                 if aside > self.terms.max_hops or self.chance() >= turns:
                     spare = spare or (server if urgent else None)
@@ -714,7 +661,8 @@
 
     def load(self, now, server):
         """How loaded a server is by this node, for its size and age; the set-aside come last."""
-        return self.turns(now, server) < 1, (server.out + 1) / (server.weight * self.presence(now, server) + 1e-9)
+        size = server.weight * self.presence(now, server) + 1e-9
+        return self.turns(now, server) < 1, (server.out + 1) / size
 
     def ranked(self, now, tx):
         """Weighted rendezvous: size and age set how many keys a cache wins; others' keys do not move."""
@@ -732,11 +680,12 @@
         if self.surveyed == now:
             return
         self.surveyed = now
-        warm = [s for s in self.caches if self.presence(now, s) == 1]
-        weight = sum(s.weight for s in warm)
-        # The best seen is kept: in a fast deploy no warm cache is left to measure by, and all would starve.
-        if weight:
-            self.usual = max(self.usual, sum(s.served.count(now) for s in warm) / weight)
+        self.window = now if self.window is None else self.window
+        if now - self.window >= self.terms.fall_window:
+            weight = sum(s.weight for s in self.caches if self.presence(now, s) == 1)
+            mean = self.served / weight * self.terms.fall_window / (now - self.window) if weight else 0
+            # The best is kept: in a fast deploy no warm cache is left to measure by; all would starve.
+            self.usual, self.served, self.window = max(self.usual, mean), 0, now
         self.borne = sum(s.bear for s in self.caches)
 
     def presence(self, now, server):
@@ -749,17 +698,15 @@
     # --- the gate ---------------------------------------------------------------------------------------
 
     def cold_room(self, now, server):
-        """Whether one more may go to a server that may be cold: what this node sees warm caches of that size
-        serve, cut by age, at half of the multiple that all nodes must stay under. Not what they are sent: in
-        an overload those are retries that nobody could bear. A node's part may be far under one hop a window,
-        and hundreds of nodes with one each are a flood: credit for a hop gathers from a start drawn by chance,
-        so that the nodes' first hops spread out as their parts add up."""
+        """Whether one more may go to a server that may be cold: of what warm caches of its size serve, cut by
+        age, this node's part at half of the multiple that all nodes must stay under. Served, not sent: in an
+        overload those are retries that nobody could bear. A part may be far under one hop a window, and a hop
+        from each of hundreds of nodes is a flood: so credit gathers from a start drawn by chance."""
         part = self.presence(now, server)
         if server.origin or part == 1:
             return True
         self.survey(now)
-        usual = self.usual * server.weight / 2      # a meter counts over up to two windows
-        rate = max(1 / self.terms.nodes, usual * part * self.terms.fall_multiple / 2)
+        rate = max(1 / self.terms.nodes, self.usual * server.weight * part * self.terms.fall_multiple / 2)
         gained = rate * (now - server.dated) / self.terms.fall_window
         server.credit, server.dated = min(max(1, rate / 2), server.credit + gained), now
         return server.credit >= 1
@@ -802,8 +749,7 @@
         """The one place that gives a final answer: a roll-back where trying again is harmless."""
         effect = tx.profile.effect
         ran = [hop for hop in tx.hops if hop.ran]
-        safe = not ran or effect == IDEMPOTENT or effect == JOURNALLED and tx.profile.group == 'all'
         self.finish(now, tx)
-        if safe:
+        if not ran or effect == IDEMPOTENT or effect == JOURNALLED and tx.profile.group == 'all':
             return 'roll_back', tx, min(self.terms.max_return, self.goal)
         return 'abandon', tx
