The chance gate acts from two thirds of a goal between a node's hops at a cache

With one hop of each node out, a cache's answers take as long as a node's hops there lie apart; over two thirds of the goal that is too late.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -391,9 +391,9 @@
     def welcome(self, now, tx, server, drawn):
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
         hop or less each, whose sum jams a server: as the expected wait passes a third of the goal they send
-        less and less, down to a trickle at two thirds; what is beyond a tenant's share goes first. A node
-        with a transaction or more a cache in a goal keeps to its bound on hops out, which knows better."""
-        if not server.origin and self.every * len(self.caches) <= self.goal:
+        less and less, down to a trickle at two thirds; what is beyond a tenant's share goes first. With one
+        hop of each node out, answers take as long as a node's hops there lie apart: up to that, the bound does."""
+        if not server.origin and 3 * self.every * len(self.caches) <= 2 * self.goal:
             return True
         part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
         return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
