--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -369,16 +369,16 @@
             server.eased = now
 
     def time(self, now, hop, how, lasted):
-        """What an answer took tells what the next will wait; a refusal is as good as a goal's wait."""
+        """What an answer took tells what the next will wait; a refusal or no connection is as good as a goal's."""
         server = hop.server
-        if how in ('unreachable', 'unsent') or hop.tx.write and not server.origin:
+        if how == 'unsent' or hop.tx.write and not server.origin:
             return
-        seen = hop.tx.profile.goal if how == 'refused' else min(lasted, hop.tx.profile.goal)
+        seen = hop.tx.profile.goal if how in ('refused', 'unreachable') else min(lasted, hop.tx.profile.goal)
         if how == 'cancelled' and seen < server.lag:
             return
         server.lag += (seen - server.lag) / (2 if seen < server.lag else 4)
         server.heard = now
-        if not server.origin:
+        if not server.origin and how != 'unreachable':
             before = self.lag * self.fade(now, self.heard)
             self.lag, self.heard = before + (seen - before) / 8, now
 
@@ -392,7 +392,7 @@
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
         hop or less each, whose sum jams a server: as the expected wait passes a third of the goal they send
         less and less, down to a trickle at two thirds; what is beyond a tenant's share goes first. With one
-        hop of each node out, answers take as long as a node's hops there lie apart: up to that, the bound does."""
+        hop of each node out, answers take as long as a node's hops lie apart: under that the bound does."""
         if not server.origin and 3 * self.every * len(self.caches) <= 2 * self.goal:
             return True
         part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
