--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -30,6 +30,7 @@
 START = 32.0            # hops out at one server before anything is known of it
 BURST = 4               # transactions that a tenant may be ahead of its share, where that is small
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
+STRAIN = 0.25           # share of hops ending late or badly from which a jam is fought
 MASK = (1 << 64) - 1
 
 
@@ -228,12 +229,11 @@
 
     def list_replaced(self, now, entries):
         """The whole list: what it lacks is gone."""
-        self.failures, self.watch_at = 0, None
         named = {entry[0].name for entry in entries}
         for server in self.known.values():
             if server.name not in named:
                 server.state = 'gone'
-        self.list_remembered(now, entries)
+        self.list_changed(now, entries)
 
     def list_remembered(self, now, entries):
         """What a node held before it was restarted: to be used until it is told better."""
@@ -258,8 +258,7 @@
             server.lag, server.last = self.lag, now
             server.pace = Pace(self.unit)
             server.credit, server.dated = self.chance(), now
-        server.state, server.weight, server.started = state, weight, started
-        server.zone, server.cell = zone, cell
+        server.state, server.weight, server.zone, server.cell = state, weight, zone, cell
         self.known[server.name] = server
 
     def relist(self):
@@ -275,8 +274,7 @@
         self.last, self.every = now, (7 * self.every + now - self.last) / 8 if self.last else 0
         mark = crc32(key.encode()) if key is not None else int(self.chance() * (1 << 32))
         tx = Tx(self.terms.profiles[row], tenant, key, mark, now, limit, write)
-        if self.tenancies:
-            tx.excess = self.tenancies[tenant].over(now)
+        tx.excess = bool(self.tenancies) and self.tenancies[tenant].over(now)
         if not write:
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
         self.rouse(tx)
@@ -369,7 +367,7 @@
             server.eased = now
 
     def time(self, now, hop, how, lasted):
-        """What an answer took tells what the next will wait; a refusal or no connection is as good as a goal's."""
+        """What an answer took tells what the next will wait; no connection or place is a goal's wait."""
         server = hop.server
         if how == 'unsent' or hop.tx.write and not server.origin:
             return
@@ -392,8 +390,10 @@
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
         hop or less each, whose sum jams a server: as the expected wait passes a third of the goal they send
         less and less, down to a trickle at two thirds; what is beyond a tenant's share goes first. With one
-        hop of each node out, answers take as long as a node's hops lie apart: under that the bound does."""
-        if not server.origin and 3 * self.every * len(self.caches) <= 2 * self.goal:
+        hop of each node out, answers take as long as a node's hops lie apart: under that the bound does, save
+        in a jam behind the caches, as of their origin: that needs less than a hop a node."""
+        alone = 3 * self.every * len(self.caches) <= 2 * self.goal and self.strain() < STRAIN
+        if alone and not server.origin:
             return True
         part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
         return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
@@ -741,7 +741,7 @@
         server.last, server.every = now, (server.every + now - server.last) / 2
         if not server.origin:
             self.total_out += 1
-        if server.origin or tx.write or tx.profile.effect != IDEMPOTENT or self.strain() < 0.25:
+        if server.origin or tx.write or tx.profile.effect != IDEMPOTENT or self.strain() < STRAIN:
             return 'send', hop, None
         return 'send', hop, max(1, self.patience(tx) - now)
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -408,6 +408,13 @@
         made.lag = made.caches[0].lag = made.goal
         self.assertTrue(made.welcome(0, tx, made.caches[0], 0.9))
 
+    def test_in_a_jam_a_node_with_enough_of_its_own_sends_less_too(self):
+        """An origin down behind the caches: a hop of each node at each cache keeps it down."""
+        made = router(3)
+        made.every, made.poor, tx = made.goal // 6, 1, taken(made)
+        made.lag = made.caches[0].lag = made.goal
+        self.assertFalse(made.welcome(0, tx, made.caches[0], 0.9))
+
     def test_the_wait_is_forgotten(self):
         """A trickle brings too few answers to learn that a jam is over."""
         made = router(3)
