--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -396,7 +396,7 @@
         if alone and not server.origin:
             return True
         part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
-        return drawn < (1 - part if tx.excess else max(FLOOR, 2 - part))
+        return drawn < (1 - 2 * part if tx.excess else max(FLOOR, 2 - part))
 
     def fade(self, now, since):
         """How much of what was seen then still counts. Guards against a lock-out: a node among hundreds may
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -415,6 +415,13 @@
         made.lag = made.caches[0].lag = made.goal
         self.assertFalse(made.welcome(0, tx, made.caches[0], 0.9))
 
+    def test_excess_is_gone_before_what_is_within_share_gives_way(self):
+        made = router(3)
+        made.every, tx, tx2 = made.goal, taken(made), taken(made)
+        made.lag = made.caches[0].lag = made.goal // 6
+        tx2.excess = True
+        self.assertEqual([made.welcome(0, one, made.caches[0], 0.01) for one in (tx, tx2)], [True, False])
+
     def test_the_wait_is_forgotten(self):
         """A trickle brings too few answers to learn that a jam is over."""
         made = router(3)
