A server set aside an hour ago no longer ends the node: fading never reaches zero

Found by reading against long running, shown by a test that failed with a division by zero: turns divide by what fades, which underflowed after about a thousand half-lives (36 minutes with a goal of 250 ms).

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -401,7 +401,7 @@
     def fade(self, now, since):
         """How much of what was seen then still counts. Guards against a lock-out: a node among hundreds may
         not get to a server often enough to learn that it is well again."""
-        return 0.5 ** ((now - since) / (8 * self.goal))
+        return 0.5 ** min(64, (now - since) / (8 * self.goal))     # never 0, however long ago
 
     def turns(self, now, server):
         """The part of its own keys' reads that a set-aside server gets; with no news that grows by time."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -323,6 +323,12 @@
         made.caches[0].share = FLOOR
         self.assertEqual(made.turns(8 * made.goal * 5, made.caches[0]), 1)
 
+    def test_set_aside_an_hour_ago(self):
+        """What was seen long ago fades to almost nothing, and is still divided by."""
+        made = router(2)
+        made.caches[0].share = FLOOR
+        self.assertEqual(made.turns(36_000_000, made.caches[0]), 1)
+
     def test_jammed_with_one_hop_out_drains(self):
         made = router(2)
         server, tx = made.caches[0], taken(made)
