Read-through: one field for what may be out twice, plainer budget and survey window

Whether a transaction is an idempotent read was worked out in three places; it is one field now. The window's start needs no special case; afford is written out again instead of sums with truth values.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -157,13 +157,14 @@
 class Tx:
     """A transaction that this node has taken."""
 
-    __slots__ = ('ref', 'profile', 'tenant', 'key', 'mark', 'taken', 'limit', 'write', 'hops', 'out', 'done',
-                 'rank', 'next', 'delay', 'missed', 'held', 'again', 'excess', 'copied', 'queued')
+    __slots__ = ('ref', 'profile', 'tenant', 'key', 'mark', 'taken', 'limit', 'write', 'read', 'hops', 'out',
+                 'done', 'rank', 'next', 'delay', 'missed', 'held', 'again', 'excess', 'copied', 'queued')
 
     def __init__(self, profile, tenant, key, mark, now, limit, write):
         self.ref = None         # the host's own mark
         self.profile, self.tenant, self.key, self.mark = profile, tenant, key, mark
         self.taken, self.limit, self.write = now, limit, write
+        self.read = profile.effect == IDEMPOTENT and not write      # may be out twice, cut and sent anew
         self.hops, self.out, self.done = [], 0, False
         self.rank = None        # caches by rendezvous rank, once needed
         self.next, self.delay = None, 0     # when something more may be sent; the present copy delay
@@ -212,7 +213,7 @@
         self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
         # When the caches were surveyed; the most that warm ones served in a window, a weight; what all bear.
         self.surveyed, self.usual, self.borne = None, 0, 0
-        self.served, self.window = 0, None      # what warm caches served in the present window; its start
+        self.served, self.window = 0, 0         # what warm caches served in the present window; its start
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
@@ -514,7 +515,7 @@
             return self.give_up(now, tx)
         if tx.out:
             return self.step_waiting(now, tx)
-        if tx.write or tx.profile.effect != IDEMPOTENT:
+        if not tx.read:
             return self.step_once(now, tx)
         if tx.hops and now >= self.patience(tx) and tx.hops[-1].ran:
             return self.give_up(now, tx)
@@ -552,7 +553,7 @@
 
     def may_copy(self, tx):
         """Only idempotent reads are ever out twice."""
-        return self.terms.may_copy and tx.profile.effect == IDEMPOTENT and not tx.write
+        return self.terms.may_copy and tx.read
 
     def step_read(self, now, tx, copy):
         """Send to the best-ranked cache not yet tried; a copy's absence is no reason to give up."""
@@ -584,9 +585,10 @@
         when many hops fail, as when the origin behind all caches does."""
         if not tx.hops or not tx.hops[-1].ran:
             return True
-        paid = self.copies_left >= 1
-        self.copies_left -= paid
-        return paid
+        if self.copies_left < 1:
+            return False
+        self.copies_left -= 1
+        return True
 
     def step_once(self, now, tx):
         """Writes and what must not run twice go once, and again only after proof that they did not run."""
@@ -680,7 +682,6 @@
         if self.surveyed == now:
             return
         self.surveyed = now
-        self.window = now if self.window is None else self.window
         if now - self.window >= self.terms.fall_window:
             weight = sum(s.weight for s in self.caches if self.presence(now, s) == 1)
             mean = self.served / weight * self.terms.fall_window / (now - self.window) if weight else 0
@@ -741,9 +742,8 @@
         server.last, server.every = now, (server.every + now - server.last) / 2
         if not server.origin:
             self.total_out += 1
-        if server.origin or tx.write or tx.profile.effect != IDEMPOTENT or self.strain() < STRAIN:
-            return 'send', hop, None
-        return 'send', hop, max(1, self.patience(tx) - now)
+        cut = tx.read and not server.origin and self.strain() >= STRAIN
+        return 'send', hop, max(1, self.patience(tx) - now) if cut else None
 
     def give_up(self, now, tx):
         """The one place that gives a final answer: a roll-back where trying again is harmless."""
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -12,7 +12,8 @@
     'balancers': 2, 'rank': 0, 'zone': 0, 'tickS': 0.005, 'kindOfService': 'cache', 'membershipMode': 'pushed',
     'profiles': [{'name': 'r', 'effect': 'free', 'group': 'all', 'repeatWindowS': 1, 'serviceGoalS': 0.5,
                   'lateRevenue': 0.0}],
-    'fees': {'handshake': 0.0, 'connection': 0.0}, 'tenants': [], 'familyInfo': {'mode': 'through', 'originKind': -1},
+    'fees': {'handshake': 0.0, 'connection': 0.0}, 'tenants': [],
+    'familyInfo': {'mode': 'through', 'originKind': -1},
     'limits': {'retryAfter': True, 'mayDuplicate': True, 'cancel': True, 'maxHops': 5, 'maxRetryAfterS': 1.0},
     'safety': {'stopSendingWithinS': 0.4, 'askWithinS': 10.0, 'fallMultiple': 4.0, 'overloadForS': 1.5,
                'coldFrom': 0.13, 'warmUpS': 24.0}}
