--- /dev/null
+++ b/lilacdyke/__main__.py
@@ -0,0 +1,59 @@
+"""The command line: serve, check, version.
+
+Owns the words on the command line and the exit codes. Must never do what a sub-command's own module does.
+"""
+
+import sys
+
+import click
+
+from . import __version__
+from .decode import place
+from .values import BadLine
+
+
+def read(path):
+    """The node's page at this path; what is wrong with it ends the program with one line."""
+    try:
+        with open(path, encoding='utf-8') as file:
+            return place(file.read())
+    except (OSError, UnicodeDecodeError, BadLine) as err:
+        click.echo('lilacdyke: %s: %s' % (path, err), err=True)
+        sys.exit(2)
+
+
+config = click.option('--config', envvar='EDGE_CONFIG', required=True, type=click.Path(),
+                      help='The node\'s JSON page; by default what EDGE_CONFIG names.')
+
+
+@click.group()
+def main():
+    """A router for fleets of cache servers."""
+
+
+@main.command()
+@config
+@click.option('--log-level', default='info', type=click.Choice(['debug', 'info', 'warning', 'error']))
+def serve(config, log_level):
+    """Run one node until SIGTERM has drained it."""
+    from .net import logs, node
+    logs.begin(log_level)
+    sys.exit(node.serve(read(config)))
+
+
+@main.command()
+@config
+def check(config):
+    """Read a node's page and say what is wrong with it."""
+    told = read(config)
+    click.echo('%s: in order, %d profiles' % (told.name, len(told.terms.profiles)))
+
+
+@main.command()
+def version():
+    """Print the version."""
+    click.echo('lilacdyke %s' % __version__)
+
+
+if __name__ == '__main__':
+    main(prog_name='lilacdyke')
--- a/lilacdyke/benchlink/serve.py
+++ b/lilacdyke/benchlink/serve.py
@@ -1,8 +1,8 @@
 """The serving loop: one batch in, one reply out, many instances that share nothing."""
 
 from ..logic import Router, Server
-from . import decode
-from .values import BadLine, down, hexbytes, number, optional, report, seconds, truth, up, whole
+from .. import decode
+from ..values import BadLine, down, hexbytes, number, optional, report, seconds, truth, up, whole
 
 ENDINGS = {'delivered': 'committed', 'app_error': 'error', 'shed': 'refused', 'expired': 'expired',
            'dial_failed': 'unreachable', 'dropped': 'lost', 'revoked': 'cancelled', 'unused': 'unsent',
--- a/lilacdyke/benchlink/decode.py
+++ b/lilacdyke/decode.py
@@ -1,8 +1,13 @@
-"""Turns the bench's JSON settings into the package's terms; names what is missing or out of form."""
+"""Reads what operators fix beforehand, for the bench's adapter and for the node on sockets alike.
+
+Owns the form of the settings and of a node's own page (its name, addresses, limits). Names what is missing or out
+of form and never fills it in by itself; decides nothing.
+"""
 
 import json
+from ipaddress import ip_address
 
-from ..terms import IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT, Profile, SiteTerms, Tenant
+from .terms import IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT, Profile, SiteTerms, Tenant
 from .values import BadLine, down, up
 
 EFFECTS = {'free': IDEMPOTENT, 'guarded': JOURNALLED, 'single_shot': NON_IDEMPOTENT}
@@ -35,7 +40,7 @@
                    _choice(row, 'group', ('all', 'zone', 'cell')) if kept else 'all',
                    down(_find(row, 'repeatWindowS', (int, float))) if kept else 0,
                    down(_find(row, 'serviceGoalS', (int, float))),
-                   _find(row, 'lateRevenue', (int, float)))
+                   _find(row, 'lateRevenue', (int, float)), down(_find(row, 'hardLimitS', (int, float))))
 
 
 def _rows(tree, path, build):
@@ -43,12 +48,20 @@
     return [build(row) for row in rows]
 
 
-def decode(text):
-    """The site's terms, this node's number, and the kind that marks the origin in lists."""
+def _tree(text, what):
     try:
-        tree = json.loads(text)
+        return json.loads(text)
     except ValueError as err:
-        raise BadLine('settings are not JSON: %s' % err) from None
+        raise BadLine('%s not JSON: %s' % (what, err)) from None
+
+
+def decode(text):
+    """The site's terms, this node's number, and the kind that marks the origin in lists."""
+    return decode_tree(_tree(text, 'settings are'))
+
+
+def decode_tree(tree):
+    """The same from settings that are parsed already."""
     real = (int, float)
     may_return = _find(tree, 'limits.retryAfter', bool)
     terms = SiteTerms(
@@ -74,3 +87,48 @@
         keep_price=_find(tree, 'fees.connection', real))
     origin_kind = _find(tree, 'familyInfo.originKind', int) if terms.aside else -1
     return terms, _find(tree, 'rank', int), origin_kind
+
+
+class Place:
+    """What one node on sockets is told of itself. Addresses are pairs of a literal host and a port."""
+
+    __slots__ = ('name', 'listen', 'discovery', 'seed', 'sockets', 'known', 'terms', 'rank', 'origin_kind',
+                 'idle', 'connect_within')
+
+    def __init__(self, **given):
+        for name in self.__slots__:
+            setattr(self, name, given[name])
+
+
+def address(text):
+    """A literal address and a port; names are not looked up."""
+    host, colon, port = text.rpartition(':')
+    try:
+        ip_address(host.strip('[]'))
+        number = int(port) if port.isascii() and port.isdigit() else 0
+    except ValueError:
+        raise BadLine('no literal address: %r' % text) from None
+    if not 0 < number < 65_536:
+        raise BadLine('no port: %r' % text)
+    return host.strip('[]'), number
+
+
+def place(text):
+    """A node's page: all it is told at its start."""
+    tree = _tree(text, 'the config is')
+    terms, rank, origin = decode_tree(_find(tree, 'settings', dict))
+    kinds = _find(tree, 'settings.kinds', list)
+    seed = _find(tree, 'seed', str)
+    try:
+        seed = int(seed, 16)
+    except ValueError:
+        raise BadLine('config: seed is out of form: %r' % seed) from None
+    if origin >= len(kinds):
+        raise BadLine('settings: familyInfo.originKind is no kind: %d' % origin)
+    return Place(
+        name=_find(tree, 'name', str), listen=address(_find(tree, 'listen', str)),
+        discovery=address(_find(tree, 'discovery', str)), seed=seed,
+        sockets=_find(tree, 'limits.sockets', int), known=_find(tree, 'known', dict),
+        terms=terms, rank=rank, origin_kind=kinds[origin] if origin >= 0 else None,
+        idle=down(_find(tree, 'settings.limits.connIdleS', (int, float))),
+        connect_within=down(_find(tree, 'settings.limits.connectTimeoutS', (int, float))))
--- /dev/null
+++ b/lilacdyke/net/caches.py
@@ -0,0 +1,300 @@
+"""Connections to cache servers and the hops on them.
+
+Owns each connection to a cache server or the origin from its dialling to its end, and what a hop's ending was: it
+alone knows whether a hop's last byte left. Must never send a hop a second time, choose a server, or pass on an
+answer that is not whole.
+"""
+
+import socket
+from collections import deque
+from errno import EMFILE, ENFILE
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Protocol
+
+from .http import ANSWER, BadMessage, Reader
+
+KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
+NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
+
+
+def ending(answer):
+    """What an answer says of the hop, in the module's words."""
+    status = answer.parts[1]
+    if status == b'200':
+        return 'committed'
+    if status == b'404':
+        return 'missing'
+    if status in (b'503', b'504') and answer.field(b'srv-declined') == b'1':
+        return 'refused'
+    return 'error'
+
+
+class Trip:
+    """One hop under way: its bytes, and where they are."""
+
+    __slots__ = ('pieces', 'pool', 'link', 'done')
+
+    def __init__(self, pool, pieces):
+        self.pool, self.pieces = pool, pieces
+        self.link = None                # the connection, once there is one
+        self.done = Deferred(self.withdraw)     # fires once, with (ending, answer or None)
+
+    def withdraw(self, _):
+        """It is not waited for any more: its connection ends, which tells the server so."""
+        if self.link:
+            self.link.give_up()
+        else:
+            self.pool.waiting.remove(self)
+
+    def over(self, how, answer=None):
+        """The one ending."""
+        self.link = None
+        self.done.callback((how, answer))
+
+
+class Link(Protocol):
+    """One connection to a cache server; it carries one hop at a time."""
+
+    def __init__(self, pool):
+        self.pool, self.reader = pool, Reader(ANSWER)
+        self.trip, self.left = None, False      # left: the hop's last byte went to the system
+        self.number, self.idle_until, self.timed = None, None, False
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+
+    def carry(self, trip):
+        """Send a hop. As a pull producer, this is asked for more once all that it wrote has left."""
+        self.trip, trip.link, self.left = trip, self, None
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self):
+        if self.left is None:
+            self.left = False
+            pieces, self.trip.pieces = self.trip.pieces, None
+            self.transport.writeSequence(pieces)
+        else:
+            self.left = True
+            self.transport.unregisterProducer()
+
+    def stopProducing(self):
+        """The connection has ended: connectionLost tells."""
+
+    def alive(self):
+        """Guards against a hop sent on a connection whose end lies unread in the system."""
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False                    # it has ended, or says what nobody asked
+
+    def dataReceived(self, data):
+        if not self.trip:
+            self.close()
+            return
+        try:
+            self.reader.feed(data)
+            answer = self.reader.take()
+            while answer and answer.parts[1][0:1] == b'1':      # only a word before the answer
+                answer = self.reader.take()
+        except BadMessage as err:
+            self.pool.caches.broken(self.pool.server, err)
+            self.finish('lost')
+            self.close()
+            return
+        if not answer:
+            return
+        if self.left and answer.lasting and not self.reader.begun:
+            trip, self.trip = self.trip, None
+            self.pool.rest(self)
+            trip.over(ending(answer), answer)
+        else:
+            self.finish(ending(answer), answer)
+            self.close()
+
+    def finish(self, how, answer=None):
+        """End the hop that is on it."""
+        trip, self.trip = self.trip, None
+        trip.over(how, answer)
+
+    def give_up(self):
+        """The hop is not waited for."""
+        self.trip = None
+        self.close()
+
+    def close(self):
+        """End the connection at once; what was not sent is not."""
+        self.pool.forget(self)
+        if self.left is False:
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason=None):
+        self.pool.forget(self)
+        self.pool.caches.ended(self)
+        if self.trip:
+            # Only a last byte that never left proves that the hop never ran.
+            self.finish('lost' if self.left else 'unreachable')
+
+
+class Pool:
+    """The connections to one server."""
+
+    __slots__ = ('caches', 'server', 'address', 'resting', 'waiting', 'dials')
+
+    def __init__(self, caches, server, address):
+        self.caches, self.server, self.address = caches, server, address
+        self.resting = []               # idle connections, the latest used last
+        self.waiting = deque()          # hops that wait for one
+        self.dials = 0                  # connections that are being opened
+
+    def send(self, trip):
+        """Carry a hop on an idle connection, or open one for it."""
+        while self.resting:
+            link = self.resting[-1]
+            self.wake(link)
+            if link.alive():
+                link.carry(trip)
+                return
+            link.close()
+        if not self.caches.room():
+            trip.over('unsent')
+            return
+        self.waiting.append(trip)
+        self.dial()
+
+    def dial(self):
+        """Open a connection, within the time that the site allows."""
+        self.dials += 1
+        caches = self.caches
+        link = Link(self)
+        link.number = caches.table.add(link)
+        caches.open += 1
+        kind = TCP6ClientEndpoint if ':' in self.address[0] else TCP4ClientEndpoint
+        opening = connectProtocol(kind(caches.reactor, *self.address, timeout=None), link)
+        number = caches.dialling.add(opening)
+        caches.deadlines.at(caches.clock() + caches.within, caches.dial_due, number)
+        opening.addCallbacks(self.dialled, self.failed, (number,), None, (number, link))
+        opening.addErrback(caches.fault)
+
+    def dialled(self, link, number):
+        """A connection is up: it is the first waiting hop's."""
+        self.dials -= 1
+        self.caches.dialling.remove(number)
+        self.rest(link)
+
+    def failed(self, failure, number, link):
+        """No connection: a hop has none to wait for, unless it was served meanwhile."""
+        self.dials -= 1
+        self.caches.dialling.remove(number)
+        self.caches.ended(link)
+        if len(self.waiting) > self.dials:
+            none_left = getattr(failure.value, 'osError', None) in (EMFILE, ENFILE)
+            self.waiting.popleft().over('unsent' if none_left else 'unreachable')
+
+    def rest(self, link):
+        """A connection is free."""
+        while self.waiting:
+            trip = self.waiting.popleft()
+            if self.server.state == 'ready':
+                link.carry(trip)
+                return
+            trip.over('unsent')         # it began to drain while the connection came up
+        if self.server.state != 'ready':
+            link.close()
+            return
+        self.resting.append(link)
+        self.caches.rest(link)
+
+    def wake(self, link):
+        """Take a connection out of those that are idle."""
+        self.resting.remove(link)
+        self.caches.resting.pop(link.number)
+
+    def forget(self, link):
+        """A connection ends; idle or not, nothing more is sent on it."""
+        if link.number in self.caches.resting:
+            self.wake(link)
+
+    def close_idle(self):
+        """End the connections that carry nothing."""
+        for link in self.resting[:]:
+            link.close()
+
+
+class Caches:
+    """All connections to servers, within a budget of descriptors."""
+
+    def __init__(self, reactor, deadlines, clock, place, budget, broken, fault):
+        self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
+        self.within, self.keep = place.connect_within, int(place.idle * KEPT)
+        self.budget, self.open = budget, 0
+        self.broken, self.fault = broken, fault     # told of answers out of form, and of faults in here
+        self.pools, self.table, self.dialling = {}, None, None
+        self.resting = {}               # idle connections by number, the longest idle first
+
+    def listed(self, server, address):
+        """A list names a server and where it is."""
+        pool = self.pools.get(server)
+        if pool is None:
+            self.pools[server] = Pool(self, server, address)
+        elif pool.address != address:
+            pool.address = address
+            pool.close_idle()
+
+    def tidy(self):
+        """Connections to servers that want nothing new are not kept."""
+        for pool in self.pools.values():
+            if pool.server.state != 'ready':
+                pool.close_idle()
+
+    def send(self, server, pieces):
+        """Start a hop; its Trip."""
+        trip = Trip(self.pools[server], pieces)
+        trip.pool.send(trip)
+        return trip
+
+    def room(self):
+        """Whether one more connection may be opened; the longest idle one makes way."""
+        if self.open >= self.budget and self.resting:
+            next(iter(self.resting.values())).close()
+        return self.open < self.budget
+
+    def rest(self, link):
+        """Note an idle connection and until when it is kept: well before the server ends it."""
+        self.resting[link.number] = link
+        link.idle_until = self.clock() + self.keep
+        if not link.timed:
+            link.timed = True
+            self.deadlines.at(link.idle_until, self.idle_due, link.number)
+
+    def idle_due(self, number):
+        """A connection may have lain idle long enough."""
+        link = self.table.get(number)
+        if link is None:
+            return
+        link.timed = False
+        if number not in self.resting:
+            return
+        if self.clock() >= link.idle_until:
+            link.close()
+        else:
+            link.timed = True
+            self.deadlines.at(link.idle_until, self.idle_due, number)
+
+    def dial_due(self, number):
+        """Guards against a server that vanished: its connections never come up."""
+        opening = self.dialling.get(number)
+        if opening is not None:
+            opening.cancel()
+
+    def ended(self, link):
+        """A connection's descriptor is free again."""
+        if self.table.get(link.number) is link:
+            self.table.remove(link.number)
+            self.open -= 1
--- /dev/null
+++ b/lilacdyke/net/discovery.py
@@ -0,0 +1,169 @@
+"""The watch on discovery: the list of servers and its changes.
+
+Owns the one connection to discovery, the version that the node holds, and the waits between tries. Must never guess
+at a line it cannot read, drop the list that the node has, or ask in a hurry.
+"""
+
+import json
+
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Protocol
+
+from .http import ANSWER, BadMessage, Chunks, Reader
+from ..decode import address
+from ..values import BadLine, up
+
+SILENCE = 30_000                        # a watch has a line every 2 s; after this it is dead
+FIRST, MOST = 1_000, 20_000             # waits before the next try: the first, doubling, and the longest
+MAX_LIST = 8 << 20                      # one line of the watch, in bytes
+STATES = {'SERVING': 'ready', 'DRAINING': 'draining', 'DELETED': 'gone'}
+
+
+class Entry:
+    """What a line says of one server."""
+
+    __slots__ = ('name', 'address', 'zone', 'kind', 'cell', 'state', 'weight', 'started')
+
+    def __init__(self, row):
+        self.name = wanted(row, 'instanceId', str)
+        self.address = address(wanted(row, 'hostPort', str))
+        self.zone = wanted(row, 'zone', str)
+        self.kind = wanted(row, 'machineType', str)
+        self.cell = wanted(row, 'cell', int)
+        self.state = STATES.get(wanted(row, 'lifecycle', str))
+        self.weight = wanted(row, 'weight', (int, float))
+        self.started = wanted(row, 'startedAtMs', (int, float))
+        if self.state is None or not self.name or not 0 <= self.weight < 1e9 or not 0 <= self.started < 1e15:
+            raise BadLine('entry out of form: %r' % row)
+
+
+def wanted(row, name, kind):
+    """A value of an object, of the kind it must have."""
+    value = row.get(name) if isinstance(row, dict) else None
+    if isinstance(value, bool) is not (kind is bool) or not isinstance(value, kind):
+        raise BadLine('%s missing or out of form: %.200r' % (name, row))
+    return value
+
+
+def read_list(tree):
+    """A list or changes to one: (version, whether it is whole, entries)."""
+    rows = wanted(tree, 'instances', list)
+    return wanted(tree, 'generation', int), wanted(tree, 'reset', bool), [Entry(row) for row in rows]
+
+
+class Watch(Protocol):
+    """One watch, from its request to its end."""
+
+    def __init__(self, discovery):
+        self.discovery, self.reader = discovery, Reader(ANSWER)
+        self.number, self.chunks, self.line = None, None, bytearray()
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(self.discovery.request())
+
+    def dataReceived(self, data):
+        if self.discovery.watch is not self:
+            return
+        try:
+            self.reader.feed(data)
+            if self.chunks or self.head():
+                self.line += self.chunks.read(self.reader.buffer)
+                self.lines()
+        except (BadMessage, BadLine, ValueError, RecursionError) as err:
+            self.discovery.say('discovery line not read', reason=err)
+            self.discovery.lost(self)
+
+    def head(self):
+        """Read the head; whether the lines begin."""
+        message = self.reader.take_head()
+        if message is None:
+            return False
+        if message.parts[1] != b'200' or not self.reader.chunks:
+            raise BadMessage(400, 'no watch: %s' % message.parts[1].decode())
+        self.chunks = Chunks(None)
+        return True
+
+    def lines(self):
+        """Hand on each whole line; an empty one says that nothing has changed."""
+        self.discovery.heard = self.discovery.clock()
+        while (end := self.line.find(b'\n')) >= 0:
+            line = bytes(self.line[:end]).strip()
+            del self.line[:end + 1]
+            if line:
+                self.discovery.told(read_list(json.loads(line)))
+        if len(self.line) > MAX_LIST:
+            raise BadLine('line too long')
+        if self.chunks.ended:
+            self.discovery.lost(self)
+
+    def connectionLost(self, reason=None):
+        self.discovery.lost(self)
+
+
+class Discovery:
+    """Keeps a watch open, and the version up to which the node has been told."""
+
+    def __init__(self, reactor, deadlines, clock, place, chance, table, node, say):
+        self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
+        self.where, self.chance, self.table = place.discovery, chance, table
+        self.host = '%s:%d' % place.discovery
+        self.node, self.say = node, say
+        self.pushed = not place.terms.watched   # else the module says when to ask
+        self.version, self.failures = None, 0
+        self.watch, self.opening, self.heard = None, None, 0
+
+    def request(self):
+        """The head that asks for all that came after what the node holds."""
+        index = '' if self.version is None else '&index=%d' % self.version
+        return ('GET /v1/endpoints?stream=1%s HTTP/1.1\r\nHost: %s\r\n\r\n' % (index, self.host)).encode()
+
+    def open(self, _=None):
+        """Start a watch unless there is one."""
+        if self.watch:
+            return
+        self.watch, self.heard = Watch(self), self.clock()
+        self.watch.number = self.table.add(self.watch)
+        kind = TCP6ClientEndpoint if ':' in self.where[0] else TCP4ClientEndpoint
+        self.opening = connectProtocol(kind(self.reactor, *self.where, timeout=None), self.watch)
+        watch = self.watch
+        self.opening.addErrback(lambda failure: self.lost(watch))
+        self.deadlines.at(self.heard + SILENCE, self.silent, watch.number)
+
+    def silent(self, number):
+        """Guards against a peer that vanished without a word, while connecting as later."""
+        watch = self.table.get(number)
+        if watch is None:
+            return
+        if self.clock() >= self.heard + SILENCE:
+            self.say('discovery silent', seconds=SILENCE / 10_000)
+            self.lost(watch)
+        else:
+            self.deadlines.at(self.heard + SILENCE, self.silent, number)
+
+    def told(self, lines):
+        """A line was read: the node learns it at once."""
+        self.version = lines[0]
+        self.failures = 0
+        self.node.listed(*lines[1:])
+
+    def lost(self, watch):
+        """The watch has ended; try again, ever later, with the list kept."""
+        if self.watch is not watch:
+            return
+        self.watch, opening = None, self.opening
+        self.table.remove(watch.number)
+        if watch.transport:
+            watch.transport.abortConnection()
+        else:
+            opening.cancel()
+        self.failures += 1
+        self.node.list_lost()
+        if self.pushed:
+            wait = min(MOST, FIRST << min(self.failures - 1, 8))
+            self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.open, 0)
+
+
+def started(entry, offset):
+    """A server's start on the module's clock, where offset is that clock less Unix time; None: long ago."""
+    return up(entry.started / 1000) + offset if entry.started else None
--- /dev/null
+++ b/lilacdyke/net/front.py
@@ -0,0 +1,220 @@
+"""Clients: their connections, requests and answers.
+
+Owns each client's connection and which request is being answered on it. Must never decide about a transaction, end
+a connection that owes an answer, or let bad input raise out of it.
+"""
+
+from twisted.internet.protocol import Factory, Protocol
+
+from . import http
+from .http import BadMessage, Reader
+from ..values import BadLine, down, number
+
+LINGER = 10_000                         # for a client to read a last answer and close by itself
+HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
+
+
+class Client(Protocol):
+    """One client's connection. It is idle, or it reads a request, or a request on it is being answered."""
+
+    def __init__(self, front):
+        self.front, self.reader = front, Reader(http.REQUEST)
+        self.number = self.errand = None        # errand: what the node makes of the present request
+        self.since = 0                  # when the present request's first byte was read
+        self.lasting, self.ending = True, False
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.front.opened(self)
+
+    def dataReceived(self, data):
+        if self.ending:
+            return
+        if not self.reader.begun and not self.errand:
+            self.begin()
+        self.reader.feed(data)
+        self.advance()
+        if self.errand and len(self.reader.buffer) > HELD:
+            self.transport.pauseProducing()
+
+    def begin(self):
+        """The first byte of a request is here; the whole must follow in time."""
+        self.since = self.front.clock()
+        self.front.busy(self)
+        self.front.deadlines.at(self.since + self.front.slowest, self.front.head_due, self.number)
+
+    def advance(self):
+        """Handle what is here, one request after the other."""
+        while not self.errand and not self.ending:
+            try:
+                message = self.reader.take()
+            except BadMessage as err:
+                self.front.node.count('malformed')
+                self.refuse(err.status, str(err))
+                return
+            if message is None:
+                self.hint()
+                return
+            self.lasting = message.lasting
+            self.front.requested(self, message)
+            if not self.errand and self.reader.begun:
+                self.begin()
+
+    def hint(self):
+        """A client that asks whether to send its body is told to."""
+        message = self.reader.message
+        if message and message.fields.pop(b'expect', b'').lower() == b'100-continue' and not self.reader.buffer:
+            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def refuse(self, status, text):
+        """The request cannot be read: what follows it cannot either."""
+        self.lasting = False
+        self.reply(http.answer(status, False, text + '\n'))
+
+    def reply(self, pieces):
+        """The one answer to the present request; pieces were written for a connection that lasts as told."""
+        self.errand = None
+        self.transport.writeSequence(pieces)
+        if not self.lasting:
+            self.end()
+        elif self.reader.begun:
+            self.begin()
+            self.front.again(self)
+        else:
+            self.front.idle(self)
+        self.transport.resumeProducing()
+
+    def end(self):
+        """Close once the last answer is written. The client is let close first, for a while: ending with bytes
+        unread would reset the connection, and with it the answer."""
+        self.ending = True
+        self.front.busy(self)
+        self.transport.loseWriteConnection()
+        self.front.deadlines.at(self.front.clock() + LINGER, self.front.linger_due, self.number)
+
+    def connectionLost(self, reason=None):
+        errand, self.errand = self.errand, None
+        self.ending = True
+        self.front.closed(self)
+        if errand:
+            self.front.node.client_gone(errand)
+
+
+class Front(Factory):
+    """The listening side, within its budget of descriptors."""
+
+    noisy = False
+
+    def __init__(self, node, deadlines, clock, terms, table, budget):
+        self.node, self.deadlines, self.clock = node, deadlines, clock
+        self.terms, self.table, self.budget = terms, table, budget
+        self.slowest = max(profile.hard for profile in terms.profiles)
+        self.profiles = {p.name.encode(): row for row, p in enumerate(terms.profiles)}
+        self.tenants = {t.name.encode(): row for row, t in enumerate(terms.tenants)}
+        self.resting = {}               # idle clients by number, the longest idle first
+        self.port, self.full, self.came = None, False, 0
+
+    def buildProtocol(self, addr):
+        self.port.numberAccepts = 1     # so that the next round of accepting does not overrun the budget
+        return Client(self)
+
+    def opened(self, client):
+        """A client has connected. Guards against running out: idle clients make way, or nobody is accepted
+        until one has gone; they wait in the system's queue and lose nothing."""
+        client.number = self.table.add(client)
+        self.came = self.clock()
+        self.resting[client.number] = client
+        self.see_to_room()
+
+    def see_to_room(self):
+        """Accept while there is room."""
+        while len(self.table) >= self.budget and len(self.resting) > 1:
+            number = next(iter(self.resting))
+            self.resting.pop(number).transport.loseConnection()
+            self.table.remove(number)
+        full = len(self.table) >= self.budget
+        if full != self.full and self.port:
+            self.full = full
+            (self.port.stopReading if full else self.port.startReading)()
+
+    def idle(self, client):
+        """Nothing is owed on it."""
+        self.resting[client.number] = client
+        if self.full:
+            self.see_to_room()
+
+    def busy(self, client):
+        """A request has begun, or the connection ends."""
+        self.resting.pop(client.number, None)
+
+    def closed(self, client):
+        """A client's connection has ended."""
+        self.busy(client)
+        self.table.remove(client.number)
+        if self.full:
+            self.see_to_room()
+
+    def again(self, client):
+        """More was sent behind the request just answered: read it in a turn of its own."""
+        self.deadlines.at(self.clock(), self.read_on, client.number)
+
+    def read_on(self, number_):
+        client = self.table.get(number_)
+        if client:
+            client.advance()
+
+    def head_due(self, number_):
+        """Guards against clients that send half a request and vanish."""
+        client = self.table.get(number_)
+        if client and not client.errand and not client.ending and client.reader.begun \
+                and self.clock() >= client.since + self.slowest:
+            client.refuse(408, 'the request did not come')
+
+    def linger_due(self, number_):
+        """Guards against clients that never close."""
+        client = self.table.get(number_)
+        if client:
+            client.transport.abortConnection()
+
+    def close_idle(self):
+        """Ask clients between requests to go."""
+        for client in list(self.resting.values()):
+            client.transport.loseConnection()
+
+    def requested(self, client, message):
+        """A whole request: to the node, or answered here."""
+        method, target, _ = message.parts
+        path = target.partition(b'?')[0]
+        if path == b'/ready':
+            able = self.node.ready()
+            client.reply(http.answer(200 if able else 503, self.stay(client), 'ready\n' if able else 'not ready\n'))
+            return
+        parts = path.split(b'/')
+        row = self.profiles.get(parts[1]) if len(parts) > 1 and not parts[0] else None
+        if row is None:
+            client.reply(http.answer(404, self.stay(client), 'no such path\n'))
+        elif method not in (b'GET', b'PUT'):
+            client.reply(http.answer(405, self.stay(client), 'GET or PUT\n', 'Allow: GET, PUT\r\n'))
+        else:
+            self.transact(client, message, row, parts[2:])
+
+    def transact(self, client, message, row, parts):
+        """A request of a profile: the node takes it."""
+        told = message.field(b'req-deadline')
+        owner = message.field(b'req-owner')
+        try:
+            wait = down(number(told.decode('latin-1'))) if told is not None else self.terms.profiles[row].hard
+        except BadLine:
+            wait = -1
+        tenant = self.tenants.get(owner) if owner else 0
+        if wait < 0 or tenant is None or not message.field(b'req-id') or not message.field(b'host'):
+            self.node.count('malformed')
+            client.refuse(400, 'Host, Req-Id, Req-Deadline or Req-Owner out of form')
+            return
+        key = parts[-1].decode('latin-1') if parts and parts[-1] else None
+        self.node.take(client, message, row, tenant, key, client.since + wait)
+
+    def stay(self, client):
+        """Whether the connection is kept after this answer."""
+        client.lasting = client.lasting and not self.node.leaving()
+        return client.lasting
--- /dev/null
+++ b/lilacdyke/net/http.py
@@ -0,0 +1,250 @@
+"""HTTP/1.1 as bytes: reads requests and answers out of a stream however it was cut, and writes heads.
+
+Owns the form of messages: bounds, framing, which header lines a hop passes on. Heads are matched in place in the
+buffer and passed on as slices. Must never touch a socket, keep more than one message's bounds, or guess at what is
+out of form: that is a BadMessage, with the status that a client should see.
+"""
+
+import re
+
+MAX_HEAD, MAX_BODY, MAX_LINE = 16_384, 65_536, 1_024
+REQUEST = re.compile(rb"([A-Za-z]+) ([!-~]+) HTTP/1\.([01])\r\n")
+ANSWER = re.compile(rb'HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n\0]*)?\r\n')
+FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\0]*)\r\n")
+SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n\0]*)?\r\n')
+DIGITS = re.compile(rb'[0-9]{1,12}\Z')
+# Lines that concern one connection only, or that every sender writes anew.
+OWN = frozenset((b'connection', b'keep-alive', b'proxy-connection', b'transfer-encoding', b'te', b'trailer',
+                 b'upgrade', b'expect', b'content-length', b'req-deadline'))
+SINGLE = frozenset((b'host', b'req-id', b'req-deadline', b'req-owner', b'idempotency-key', b'srv-declined'))
+REASONS = {200: 'OK', 400: 'Bad Request', 404: 'Not Found', 405: 'Method Not Allowed', 408: 'Request Timeout',
+           413: 'Content Too Large', 431: 'Request Header Fields Too Large', 500: 'Internal Server Error',
+           502: 'Bad Gateway', 503: 'Service Unavailable', 504: 'Gateway Timeout'}
+
+
+class BadMessage(Exception):
+    """A message that cannot be read; status is what its sender is told, where it is a client."""
+
+    def __init__(self, status, text):
+        super().__init__(text)
+        self.status = status
+
+
+class Message:
+    """One request or answer: the first line's parts, the header lines as spans of the head, the body."""
+
+    __slots__ = ('head', 'start', 'parts', 'lines', 'fields', 'body')
+
+    def __init__(self, head, first):
+        self.head = head
+        self.parts = first.groups()
+        self.start = first.end()
+        self.lines, self.fields = [], {}
+        self.body = b''
+
+    def field(self, name):
+        """The value of a header field, or None."""
+        return self.fields.get(name)
+
+    def tokens(self, name):
+        """The comma-separated words of a field."""
+        return {word.strip().lower() for word in self.fields.get(name, b'').split(b',')} - {b''}
+
+    @property
+    def lasting(self):
+        """Whether the connection may carry another message after this one."""
+        words = self.tokens(b'connection')
+        minor = self.parts[2] if len(self.parts) == 3 else self.parts[0]
+        return b'close' not in words and (minor == b'1' or b'keep-alive' in words)
+
+    def passed(self):
+        """The header lines that go on to the next hop, as few slices of the head as they make."""
+        listed, view, runs = self.tokens(b'connection'), memoryview(self.head), []
+        for name, begin, end in self.lines:
+            if name in OWN or name in listed:
+                continue
+            if runs and runs[-1][1] == begin:
+                runs[-1][1] = end
+            else:
+                runs.append([begin, end])
+        return [view[begin:end] for begin, end in runs]
+
+
+def read_head(buffer, end, first):
+    """The message whose head is the buffer's first bytes up to end, its closing empty line included."""
+    begun = first.match(buffer, 0, end)
+    if not begun:
+        raise BadMessage(400, 'first line out of form')
+    message = Message(bytes(memoryview(buffer)[:end]), begun)
+    at = message.start
+    while at < end - 2:
+        line = FIELD.match(buffer, at, end)
+        if not line:
+            raise BadMessage(400, 'header line out of form')
+        name, value = line[1].lower(), line[2].strip(b' \t')
+        message.lines.append((name, at, line.end()))
+        if name not in message.fields:
+            message.fields[name] = value
+        elif name not in SINGLE:
+            message.fields[name] += b', ' + value
+        elif message.fields[name] != value:
+            raise BadMessage(400, 'header field twice')
+        at = line.end()
+    return message
+
+
+class Chunks:
+    """A chunked body being read."""
+
+    __slots__ = ('left', 'size', 'most', 'trailer', 'ended')
+
+    def __init__(self, most):
+        self.left, self.size, self.most = 0, 0, most    # left: of this chunk, with its line end; most: of all
+        self.trailer, self.ended = 0, False
+
+    def read(self, buffer):
+        """Take what can be taken off the buffer; the data in it."""
+        data = bytearray()
+        while not self.ended:
+            if self.left > 2:
+                piece = buffer[:self.left - 2]
+                data += piece
+                del buffer[:len(piece)]
+                self.left -= len(piece)
+                if self.left > 2:
+                    break
+            if self.left:
+                if len(buffer) < 2 and b'\r\n'.startswith(buffer):
+                    break
+                if not buffer.startswith(b'\r\n'):
+                    raise BadMessage(400, 'chunk without its end')
+                del buffer[:2]
+                self.left = 0
+            if not self.next_chunk(buffer):
+                break
+        return data
+
+    def next_chunk(self, buffer):
+        """Read a chunk's size, or a line after the last chunk; False while it is not all there."""
+        end = buffer.find(b'\n') + 1
+        if (end or len(buffer)) > MAX_LINE:
+            raise BadMessage(400, 'chunk line too long')
+        if not end:
+            return False
+        if self.trailer:
+            self.trailer += end
+            if self.trailer > MAX_HEAD or not (FIELD.fullmatch(buffer, 0, end) or buffer[:end] == b'\r\n'):
+                raise BadMessage(400, 'trailer out of form')
+            self.ended = end == 2
+        else:
+            line = SIZE.fullmatch(buffer, 0, end)
+            if not line:
+                raise BadMessage(400, 'chunk size out of form')
+            size = int(line[1], 16)
+            self.size += size
+            if self.most is not None and self.size > self.most:
+                raise BadMessage(413, 'body too large')
+            self.left, self.trailer = (size + 2, 0) if size else (0, 1)
+        del buffer[:end]
+        return True
+
+
+class Reader:
+    """One side's stream of messages. feed() what came, then take() messages until it gives None."""
+
+    __slots__ = ('first', 'buffer', 'scanned', 'message', 'need', 'chunks')
+
+    def __init__(self, first):
+        self.first = first              # REQUEST or ANSWER
+        self.buffer = bytearray()
+        self.reset()
+
+    def reset(self):
+        self.scanned, self.message, self.need, self.chunks = 0, None, 0, None
+
+    @property
+    def begun(self):
+        """Whether part of a message is here."""
+        return self.message is not None or bool(self.buffer)
+
+    def feed(self, data):
+        self.buffer += data
+
+    def take(self):
+        """The next whole message, or None."""
+        if self.message is None and not self.take_head():
+            return None
+        message = self.message
+        if self.chunks:
+            message.body += self.chunks.read(self.buffer)
+            if not self.chunks.ended:
+                return None
+        else:
+            if len(self.buffer) < self.need:
+                return None
+            message.body = bytes(memoryview(self.buffer)[:self.need])
+            del self.buffer[:self.need]
+        self.reset()
+        return message
+
+    def take_head(self):
+        """Read the head once it is whole; the message without its body, or None."""
+        while self.buffer[:2] == b'\r\n' and self.first is REQUEST:
+            del self.buffer[:2]         # an empty line before a request is to be passed over
+        end = self.buffer.find(b'\r\n\r\n', max(0, self.scanned - 3)) + 4
+        self.scanned = len(self.buffer)
+        if (end if end > 3 else self.scanned) > MAX_HEAD:
+            raise BadMessage(431, 'head too large')
+        if end <= 3:
+            return None
+        self.message = read_head(self.buffer, end, self.first)
+        del self.buffer[:end]
+        self.frame(self.message)
+        return self.message
+
+    def frame(self, message):
+        """How long the body is; what two headers tell differently is refused, never chosen between."""
+        length, coding = message.field(b'content-length'), message.field(b'transfer-encoding')
+        if length is not None and coding is not None:
+            raise BadMessage(400, 'two framings')
+        if coding is not None:
+            if coding.lower() != b'chunked':
+                raise BadMessage(400, 'unknown transfer coding')
+            self.chunks = Chunks(MAX_BODY)
+            message.body = bytearray()
+            return
+        if length is None:
+            # An answer that would last until its connection ends cannot be told from a half one.
+            if self.first is ANSWER and message.parts[1] not in (b'204', b'304') and message.parts[1][0:1] != b'1':
+                raise BadMessage(400, 'answer without a length')
+            return
+        lengths = {part.strip() for part in length.split(b',')}
+        if len(lengths) != 1 or not DIGITS.match(length := lengths.pop()):
+            raise BadMessage(400, 'length out of form')
+        if int(length) > MAX_BODY:
+            raise BadMessage(413, 'body too large')
+        self.need = int(length)
+
+
+def request(message, wait):
+    """A client's request as it goes to a cache that is waited for so long (tenths of a millisecond)."""
+    tail = b'Req-Deadline: %d.%04d\r\n' % divmod(wait, 10_000)
+    if message.body or message.parts[0] != b'GET':
+        tail += b'Content-Length: %d\r\n' % len(message.body)
+    line = b'%s %s HTTP/1.1\r\n' % message.parts[:2]
+    return [line, *message.passed(), tail + b'\r\n', bytes(message.body)]
+
+
+def relayed(message, lasting):
+    """A cache's 200 answer as it goes to the client."""
+    tail = b'Content-Length: %d\r\n' % len(message.body)
+    if not lasting:
+        tail += b'Connection: close\r\n'
+    return [b'HTTP/1.1 200 OK\r\n', *message.passed(), tail + b'\r\n', bytes(message.body)]
+
+
+def answer(status, lasting, text='', more=''):
+    """An answer of the node's own."""
+    body = text.encode()
+    return [('HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n%s%s\r\n' % (
+        status, REASONS[status], len(body), more, '' if lasting else 'Connection: close\r\n')).encode(), body]
--- /dev/null
+++ b/lilacdyke/net/node.py
@@ -0,0 +1,328 @@
+"""The node: one object that holds the program's phases and calls the module.
+
+Owns the module's router, the clock, the transactions that are open and the hops under way, each in numbered slots.
+After every input it pulls the module's decisions until there are none and carries them out. Must never decide by
+itself what the module could: it only keeps what the protocol owes (one answer to all that is taken).
+"""
+
+import logging
+import resource
+import signal
+from random import Random
+from time import monotonic, time
+
+from . import http
+from .caches import NOTES, Caches
+from .discovery import Discovery, read_list, started
+from .front import Front
+from .logs import LOG, say, warn
+from .tables import Deadlines, Table
+from ..logic import Router, Server
+from ..values import SECOND, BadLine, seconds
+
+STARTING, SERVING, DRAINING, STOPPED = 'starting', 'serving', 'draining', 'stopped'
+SPARE = 24                              # descriptors for all but clients and caches
+COMING = 5_000                          # after SIGTERM clients go on coming for less than this
+FIGURES = 10 * SECOND                   # between two lines of figures
+
+
+class Errand:
+    """A transaction that the node has taken, and the client it owes an answer."""
+
+    __slots__ = ('number', 'client', 'message', 'tx', 'trips')
+
+    def __init__(self, client, message):
+        self.client, self.message = client, message
+        self.number = self.tx = None
+        self.trips = []                 # hops under way
+
+
+class Passage:
+    """A hop under way for an errand."""
+
+    __slots__ = ('number', 'errand', 'hop', 'trip', 'cut')
+
+    def __init__(self, errand, hop):
+        self.errand, self.hop = errand, hop
+        self.number = self.trip = None
+        self.cut = None                 # why it is not waited for
+
+
+class Node:
+    """One node from start to exit."""
+
+    def __init__(self, place, reactor):
+        self.place, self.reactor = place, reactor
+        self.phase = STARTING
+        self.zero = monotonic() - 1     # the module's clock starts at one second
+        self.offset = self.clock() - int(time() * SECOND)
+        self.chance = Random(place.seed).random
+        self.router = Router(place.terms, place.seed, place.rank)
+        self.servers = {}
+        self.errands, self.passages, self.links, self.clients = Table(), Table(), Table(), Table()
+        self.deadlines = Deadlines(self.clock, reactor.callLater)
+        budget = (self.descriptors() - SPARE) // 2
+        self.front = Front(self, self.deadlines, self.clock, place.terms, self.clients, budget)
+        self.caches = Caches(reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault)
+        self.caches.table, self.caches.dialling = self.links, Table()
+        self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self.links, self,
+                                   warn)
+        self.pulling = False
+        self.counts = {}
+
+    def clock(self):
+        """The module's time."""
+        return int((monotonic() - self.zero) * SECOND)
+
+    def descriptors(self):
+        """How many this process may hold."""
+        soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        return min(self.place.sockets, soft if soft > 0 else self.place.sockets)
+
+    # --- phases -----------------------------------------------------------------------------------------
+
+    def start(self):
+        """Take the remembered list, listen, and open the watch."""
+        try:
+            self.discovery.version, _, entries = read_list(self.place.known)
+            self.remember(entries)
+        except BadLine as err:
+            warn('remembered list not read', reason=err)
+        host, port = self.place.listen
+        self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        self.phase = SERVING
+        if self.discovery.pushed:
+            self.discovery.open()
+        self.settle()
+        self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
+        say('serving', node=self.place.name, address='%s:%d' % self.place.listen, servers=len(self.servers),
+            descriptors=self.descriptors())
+
+    def ready(self):
+        """Whether clients should come here."""
+        return self.phase == SERVING and bool(self.router.caches)
+
+    def leaving(self):
+        """Whether clients are asked to close."""
+        return self.phase != SERVING
+
+    def drain(self, signum=signal.SIGTERM, _=None):
+        """SIGTERM: answer all that is taken and all that still comes, then exit."""
+        if self.phase == SERVING:
+            self.phase = DRAINING
+            say('draining', signal=signum, open=len(self.errands), clients=len(self.clients))
+            self.deadlines.at(self.clock() + COMING, self.leave, 0)
+
+    def leave(self, _):
+        """No more clients come; exit once nothing is owed."""
+        now = self.clock()
+        if now < self.front.came + COMING // 2:
+            self.deadlines.at(self.front.came + COMING // 2, self.leave, 0)
+            return
+        self.front.close_idle()
+        if len(self.errands) or len(self.clients):
+            self.deadlines.at(now + COMING // 20, self.leave, 0)
+        elif self.phase == DRAINING:
+            self.phase = STOPPED
+            say('stopped', **self.counts)
+            self.reactor.stop()
+
+    # --- clients ----------------------------------------------------------------------------------------
+
+    def take(self, client, message, row, tenant, key, limit):
+        """A client's request has come whole: one answer is owed from here on."""
+        errand = client.errand = Errand(client, message)
+        errand.number = self.errands.add(errand)
+        self.count('taken')
+        errand.tx = self.router.take(self.clock(), row, tenant, key, limit, message.parts[0] == b'PUT')
+        errand.tx.ref = errand
+        self.deadlines.at(limit, self.limit_due, errand.number)
+        self.settle()
+
+    def client_gone(self, errand):
+        """A client closed without waiting for its answer."""
+        self.errands.remove(errand.number)
+        self.count('gone')
+        self.router.client_gone(self.clock(), errand.tx)
+        self.settle()
+
+    def reply(self, errand, status, text='', more=''):
+        """The final answer of the node's own."""
+        client = errand.client
+        self.errands.remove(errand.number)
+        client.reply(http.answer(status, self.front.stay(client), text, more))
+
+    def limit_due(self, number):
+        """The client's limit: hops end, and the module answers. Should it not, the answer is owed all the same."""
+        errand = self.errands.get(number)
+        if errand is None:
+            return
+        for passage in errand.trips[:]:
+            self.cut(passage, 'expired')
+        self.settle()
+        if self.errands.get(number) is errand:
+            LOG.error('limit passed without a decision')
+            self.reply(errand, 504, 'out of time\n')
+            self.router.client_gone(self.clock(), errand.tx)
+
+    # --- hops -------------------------------------------------------------------------------------------
+
+    def cut(self, passage, how):
+        """End a hop from here."""
+        passage.cut = how
+        passage.trip.done.cancel()
+
+    def patience_due(self, number):
+        """A hop's own limit."""
+        passage = self.passages.get(number)
+        if passage:
+            self.cut(passage, 'expired')
+            self.settle()
+
+    def arrived(self, ending, number):
+        """A hop has ended: by what came of it, or cut."""
+        passage = self.passages.get(number)
+        how, answer = ending if isinstance(ending, tuple) else (passage.cut, None)
+        if not isinstance(ending, tuple) and how is None:
+            return ending               # no cut but a fault: let it be logged
+        self.passages.remove(number)
+        errand, hop = passage.errand, passage.hop
+        errand.trips.remove(passage)
+        now = self.clock()
+        open_ = self.errands.get(errand.number) is errand
+        if how == 'committed' and open_:
+            self.errands.remove(errand.number)
+            self.count('committed')
+            errand.client.reply(http.relayed(answer, self.front.stay(errand.client)))
+        note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
+        self.count('hops_' + how)
+        self.router.hop_ended(now, hop, how, now - hop.sent, how == 'committed' or hop.tx.done, note)
+        self.settle()
+        return None
+
+    def broken(self, server, err):
+        """A server's answer out of form."""
+        self.count('broken_answers')
+        warn('answer not read', server=server.name, reason=err)
+
+    def fault(self, failure):
+        """A fault in the node itself."""
+        LOG.error('fault', exc_info=(failure.type, failure.value, failure.getTracebackObject()))
+
+    # --- the list ---------------------------------------------------------------------------------------
+
+    def listed(self, whole, entries):
+        """Discovery has told a list, or changes to one."""
+        now, rows = self.clock(), [self.entry(entry) for entry in entries]
+        (self.router.list_replaced if whole else self.router.list_changed)(now, rows)
+        self.caches.tidy()
+        say('list', whole=whole, entries=len(rows), caches=len(self.router.caches))
+        self.settle()
+
+    def remember(self, entries):
+        """The list that the node had before its start."""
+        self.router.list_remembered(self.clock(), [self.entry(entry) for entry in entries])
+
+    def entry(self, entry):
+        """A server's entry as the module takes it."""
+        server = self.servers.get(entry.name)
+        if server is None:
+            server = self.servers[entry.name] = Server(entry.name, entry.kind == self.place.origin_kind)
+        self.caches.listed(server, entry.address)
+        return (server, entry.state, entry.weight, started(entry, self.offset), entry.zone, entry.cell)
+
+    def list_lost(self):
+        """The watch has ended."""
+        if not self.discovery.pushed:
+            self.router.list_failed(self.clock())
+            self.settle()
+
+    # --- decisions --------------------------------------------------------------------------------------
+
+    def settle(self):
+        """Pull the module's decisions until none is left."""
+        if self.pulling:
+            return                      # the pull that this came out of goes on
+        self.pulling = True
+        try:
+            while decision := self.router.decide(self.clock()):
+                getattr(self, 'do_' + decision[0])(*decision[1:])
+        except Exception:
+            LOG.exception('decision failed')
+        finally:
+            self.pulling = False
+
+    def do_send(self, hop, patience):
+        """A hop goes out."""
+        errand, now = hop.tx.ref, self.clock()
+        until = hop.tx.limit if patience is None else min(hop.tx.limit, now + patience)
+        passage = Passage(errand, hop)
+        passage.number = self.passages.add(passage)
+        errand.trips.append(passage)
+        passage.trip = self.caches.send(hop.server, http.request(errand.message, max(1, until - now)))
+        passage.trip.done.addBoth(self.arrived, passage.number).addErrback(self.fault)
+        if until < hop.tx.limit:
+            self.deadlines.at(until, self.patience_due, passage.number)
+
+    def do_cancel(self, hop):
+        """A hop is not waited for any more."""
+        for passage in hop.tx.ref.trips:
+            if passage.hop is hop:
+                self.cut(passage, 'cancelled')
+                return
+
+    def do_roll_back(self, tx, after):
+        """The client may safely try again."""
+        self.count('rolled_back')
+        self.reply(tx.ref, 503, 'try again\n', 'Retry-After: %s\r\n' % seconds(after) if after else '')
+
+    def do_abandon(self, tx):
+        """Nothing can be promised."""
+        self.count('abandoned')
+        late = self.clock() >= tx.limit
+        self.reply(tx.ref, 504 if late else 502, 'it may have taken effect\n')
+
+    def do_watch(self):
+        """Ask for the list's changes."""
+        self.discovery.open()
+
+    def do_close(self, server):
+        """Idle connections are not kept."""
+        self.caches.pools[server].close_idle()
+
+    def do_wake(self, when):
+        """Let the module look again."""
+        self.deadlines.at(when, self.wake_due, 0)
+
+    def do_log(self, text):
+        """A line for staff."""
+        warn(text)
+
+    def wake_due(self, _):
+        self.router.woken(self.clock())
+        self.settle()
+
+    # --- figures ----------------------------------------------------------------------------------------
+
+    def count(self, what):
+        """One more of these."""
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def figures(self, _):
+        """A line of counts since the start."""
+        say('figures', open=len(self.errands), clients=len(self.clients), links=self.caches.open,
+            memory_kb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss, **self.counts)
+        self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
+
+
+def serve(place):
+    """Run a node until it has drained."""
+    from twisted.internet import reactor
+    from twisted.logger import STDLibLogObserver, globalLogBeginner
+    globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
+    node = Node(place, reactor)
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signum, lambda n, _: reactor.callFromThread(node.drain, n))
+    reactor.callWhenRunning(node.start)
+    reactor.run(installSignalHandlers=False)
+    logging.shutdown()
--- a/lilacdyke/terms.py
+++ b/lilacdyke/terms.py
@@ -11,15 +11,16 @@
 class Profile:
     """One row of the table of profiles: what the router must know of a kind of transaction."""
 
-    __slots__ = ('name', 'effect', 'group', 'window', 'goal', 'late_revenue')
+    __slots__ = ('name', 'effect', 'group', 'window', 'goal', 'late_revenue', 'hard')
 
-    def __init__(self, name, effect, group, window, goal, late_revenue):
+    def __init__(self, name, effect, group, window, goal, late_revenue, hard=0):
         self.name = name
         self.effect = effect
         self.group = group              # 'all', 'zone' or 'cell': who drops a journalled repeat
         self.window = window            # and for how long after the first send
         self.goal = goal
         self.late_revenue = late_revenue
+        self.hard = hard                # the hard limit: the most that a client waits in all
 
 
 class Tenant:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -4,13 +4,13 @@
 import json
 import unittest
 
-from lilacdyke.benchlink.decode import decode
+from lilacdyke.decode import decode
 from lilacdyke.benchlink.serve import Link
-from lilacdyke.benchlink.values import BadLine, down, number, seconds, up
+from lilacdyke.values import BadLine, down, number, seconds, up
 
 SITE = {
     'balancers': 2, 'rank': 0, 'zone': 0, 'tickS': 0.005, 'kindOfService': 'cache', 'membershipMode': 'pushed',
-    'profiles': [{'name': 'r', 'effect': 'free', 'group': 'all', 'repeatWindowS': 1, 'serviceGoalS': 0.5,
+    'profiles': [{'name': 'r', 'effect': 'free', 'group': 'all', 'repeatWindowS': 1, 'serviceGoalS': 0.5, 'hardLimitS': 3.0,
                   'lateRevenue': 0.0}],
     'fees': {'handshake': 0.0, 'connection': 0.0}, 'tenants': [],
     'familyInfo': {'mode': 'through', 'originKind': -1},
