--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -59,7 +59,7 @@
 
     def passed(self):
         """The header lines that go on to the next hop, as few slices of the head as they make."""
-        listed, view, runs = self.tokens(b'connection'), memoryview(self.head), []
+        listed, runs = self.tokens(b'connection'), []
         for name, begin, end in self.lines:
             if name in OWN or name in listed:
                 continue
@@ -67,7 +67,7 @@
                 runs[-1][1] = end
             else:
                 runs.append([begin, end])
-        return [view[begin:end] for begin, end in runs]
+        return [self.head[begin:end] for begin, end in runs]
 
 
 def read_head(buffer, end, first):
