--- a/lilacdyke/decode.py
+++ b/lilacdyke/decode.py
@@ -117,6 +117,8 @@
     """A node's page: all it is told at its start."""
     tree = _tree(text, 'the config is')
     terms, rank, origin = decode_tree(_find(tree, 'settings', dict))
+    within = down(_find(tree, 'settings.limits.connectTimeoutS', (int, float)))
+    terms.tick += within                # a repeat may wait so long for its connection before it leaves
     kinds = _find(tree, 'settings.kinds', list)
     seed = _find(tree, 'seed', str)
     try:
@@ -131,4 +133,4 @@
         sockets=_find(tree, 'limits.sockets', int), known=_find(tree, 'known', dict),
         terms=terms, rank=rank, origin_kind=kinds[origin] if origin >= 0 else None,
         idle=down(_find(tree, 'settings.limits.connIdleS', (int, float))),
-        connect_within=down(_find(tree, 'settings.limits.connectTimeoutS', (int, float))))
+        connect_within=within)
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -13,7 +13,8 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
 
-from .http import ANSWER, BadMessage, Reader
+from .http import ANSWER, BadMessage, Reader, request
+from .tables import Table
 
 KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
 NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
@@ -32,12 +33,12 @@
 
 
 class Trip:
-    """One hop under way: its bytes, and where they are."""
+    """One hop under way: the client's request, until when it is waited for, and where it is."""
 
-    __slots__ = ('pieces', 'pool', 'link', 'done')
+    __slots__ = ('pool', 'message', 'until', 'link', 'done')
 
-    def __init__(self, pool, pieces):
-        self.pool, self.pieces = pool, pieces
+    def __init__(self, pool, message, until):
+        self.pool, self.message, self.until = pool, message, until
         self.link = None                # the connection, once there is one
         self.done = Deferred(self.withdraw)     # fires once, with (ending, answer or None)
 
@@ -73,8 +74,8 @@
     def resumeProducing(self):
         if self.left is None:
             self.left = False
-            pieces, self.trip.pieces = self.trip.pieces, None
-            self.transport.writeSequence(pieces)
+            wait = max(1, self.trip.until - self.pool.caches.clock())
+            self.transport.writeSequence(request(self.trip.message, wait))
         else:
             self.left = True
             self.transport.unregisterProducer()
@@ -235,7 +236,7 @@
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
         self.budget, self.open = budget, 0
         self.broken, self.fault = broken, fault     # told of answers out of form, and of faults in here
-        self.pools, self.table, self.dialling = {}, None, None
+        self.pools, self.table, self.dialling = {}, Table(), Table()
         self.resting = {}               # idle connections by number, the longest idle first
 
     def listed(self, server, address):
@@ -253,9 +254,9 @@
             if pool.server.state != 'ready':
                 pool.close_idle()
 
-    def send(self, server, pieces):
+    def send(self, server, message, until):
         """Start a hop; its Trip."""
-        trip = Trip(self.pools[server], pieces)
+        trip = Trip(self.pools[server], message, until)
         trip.pool.send(trip)
         return trip
 
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -10,12 +10,15 @@
 from twisted.internet.protocol import Protocol
 
 from .http import ANSWER, BadMessage, Chunks, Reader
+from .logs import warn
+from .tables import Table
 from ..decode import address
 from ..values import BadLine, up
 
 SILENCE = 30_000                        # a watch has a line every 2 s; after this it is dead
-FIRST, MOST = 1_000, 20_000             # waits before the next try: the first, doubling, and the longest
-MAX_LIST = 8 << 20                      # one line of the watch, in bytes
+ANSWERED = 10_000                       # for its head: discovery is on this machine and answers at once
+FIRST, MOST = 1_000, 15_000             # waits before the next try: the first, doubling, and the longest
+MAX_LIST = 4 << 20                      # one line of the watch, in bytes
 STATES = {'SERVING': 'ready', 'DRAINING': 'draining', 'DELETED': 'gone'}
 
 
@@ -71,8 +74,7 @@
                 self.line += self.chunks.read(self.reader.buffer)
                 self.lines()
         except (BadMessage, BadLine, ValueError, RecursionError) as err:
-            self.discovery.say('discovery line not read', reason=err)
-            self.discovery.lost(self)
+            self.discovery.lost(self, 'not read: %s' % err)
 
     def head(self):
         """Read the head; whether the lines begin."""
@@ -95,20 +97,20 @@
         if len(self.line) > MAX_LIST:
             raise BadLine('line too long')
         if self.chunks.ended:
-            self.discovery.lost(self)
+            self.discovery.lost(self, 'ended')
 
     def connectionLost(self, reason=None):
-        self.discovery.lost(self)
+        self.discovery.lost(self, 'connection lost')
 
 
 class Discovery:
     """Keeps a watch open, and the version up to which the node has been told."""
 
-    def __init__(self, reactor, deadlines, clock, place, chance, table, node, say):
+    def __init__(self, reactor, deadlines, clock, place, chance, node):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
-        self.where, self.chance, self.table = place.discovery, chance, table
+        self.where, self.chance, self.table = place.discovery, chance, Table()
         self.host = '%s:%d' % place.discovery
-        self.node, self.say = node, say
+        self.node = node
         self.pushed = not place.terms.watched   # else the module says when to ask
         self.version, self.failures = None, 0
         self.watch, self.opening, self.heard = None, None, 0
@@ -127,19 +129,19 @@
         kind = TCP6ClientEndpoint if ':' in self.where[0] else TCP4ClientEndpoint
         self.opening = connectProtocol(kind(self.reactor, *self.where, timeout=None), self.watch)
         watch = self.watch
-        self.opening.addErrback(lambda failure: self.lost(watch))
-        self.deadlines.at(self.heard + SILENCE, self.silent, watch.number)
+        self.opening.addErrback(lambda failure: self.lost(watch, 'no connection'))
+        self.deadlines.at(self.heard + ANSWERED, self.silent, watch.number)
 
     def silent(self, number):
         """Guards against a peer that vanished without a word, while connecting as later."""
         watch = self.table.get(number)
         if watch is None:
             return
-        if self.clock() >= self.heard + SILENCE:
-            self.say('discovery silent', seconds=SILENCE / 10_000)
-            self.lost(watch)
+        due = self.heard + (SILENCE if watch.chunks else ANSWERED)
+        if self.clock() >= due:
+            self.lost(watch, 'silent')
         else:
-            self.deadlines.at(self.heard + SILENCE, self.silent, number)
+            self.deadlines.at(due, self.silent, number)
 
     def told(self, lines):
         """A line was read: the node learns it at once."""
@@ -147,7 +149,7 @@
         self.failures = 0
         self.node.listed(*lines[1:])
 
-    def lost(self, watch):
+    def lost(self, watch, why):
         """The watch has ended; try again, ever later, with the list kept."""
         if self.watch is not watch:
             return
@@ -158,6 +160,7 @@
         else:
             opening.cancel()
         self.failures += 1
+        warn('watch lost', why=why, failures=self.failures, version=self.version)
         self.node.list_lost()
         if self.pushed:
             wait = min(MOST, FIRST << min(self.failures - 1, 8))
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -8,9 +8,12 @@
 
 from . import http
 from .http import BadMessage, Reader
+from .logs import LOG
+from .tables import Table
 from ..values import BadLine, down, number
 
 LINGER = 10_000                         # for a client to read a last answer and close by itself
+NEARLY = 2                              # descriptors before the last one: idle clients begin to make way
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
 
 
@@ -54,11 +57,21 @@
                 return
             if message is None:
                 self.hint()
+                if not self.reader.begun:
+                    self.front.idle(self)
                 return
             self.lasting = message.lasting
+            self.handle(message)
+
+    def handle(self, message):
+        """A whole request. Guards against a fault of our own, which must not cost the client its answer."""
+        try:
             self.front.requested(self, message)
-            if not self.errand and self.reader.begun:
-                self.begin()
+        except Exception:
+            LOG.exception('fault')
+            if self.errand:
+                self.front.node.forget(self.errand)
+            self.refuse(500, 'a fault in the node')
 
     def hint(self):
         """A client that asks whether to send its body is told to."""
@@ -79,7 +92,7 @@
             self.end()
         elif self.reader.begun:
             self.begin()
-            self.front.again(self)
+            self.front.again(self)      # in a turn of its own: many small requests may stand here
         else:
             self.front.idle(self)
         self.transport.resumeProducing()
@@ -87,9 +100,18 @@
     def end(self):
         """Close once the last answer is written. The client is let close first, for a while: ending with bytes
         unread would reset the connection, and with it the answer."""
+        self.parting()
+        self.transport.loseWriteConnection()
+
+    def part(self):
+        """Close between requests. One that crosses this is reset unread, and the client sends it anew."""
+        self.parting()
+        self.transport.loseConnection()
+
+    def parting(self):
+        """Nothing more is read from it; it has a while to close."""
         self.ending = True
         self.front.busy(self)
-        self.transport.loseWriteConnection()
         self.front.deadlines.at(self.front.clock() + LINGER, self.front.linger_due, self.number)
 
     def connectionLost(self, reason=None):
@@ -105,17 +127,23 @@
 
     noisy = False
 
-    def __init__(self, node, deadlines, clock, terms, table, budget):
+    def __init__(self, node, deadlines, clock, terms, budget):
         self.node, self.deadlines, self.clock = node, deadlines, clock
-        self.terms, self.table, self.budget = terms, table, budget
+        self.terms, self.table, self.budget = terms, Table(), budget
         self.slowest = max(profile.hard for profile in terms.profiles)
         self.profiles = {p.name.encode(): row for row, p in enumerate(terms.profiles)}
         self.tenants = {t.name.encode(): row for row, t in enumerate(terms.tenants)}
         self.resting = {}               # idle clients by number, the longest idle first
-        self.port, self.full, self.came = None, False, 0
+        self.port, self.full, self.shut = None, False, False
+        self.came = 0                   # when the last client connected
+
+    def listen(self, reactor, host, port):
+        """Accept clients from now on."""
+        self.port = reactor.listenTCP(port, self, backlog=1024, interface=host)
+        self.port.numberAccepts = 1
 
     def buildProtocol(self, addr):
-        self.port.numberAccepts = 1     # so that the next round of accepting does not overrun the budget
+        self.port.numberAccepts = 0     # keeps it at one a turn: more at once could overrun the budget
         return Client(self)
 
     def opened(self, client):
@@ -123,25 +151,27 @@
         until one has gone; they wait in the system's queue and lose nothing."""
         client.number = self.table.add(client)
         self.came = self.clock()
-        self.resting[client.number] = client
+        if len(self.table) >= self.budget - NEARLY and self.resting:
+            next(iter(self.resting.values())).part()
+        self.idle(client)
         self.see_to_room()
 
     def see_to_room(self):
         """Accept while there is room."""
-        while len(self.table) >= self.budget and len(self.resting) > 1:
-            number = next(iter(self.resting))
-            self.resting.pop(number).transport.loseConnection()
-            self.table.remove(number)
         full = len(self.table) >= self.budget
-        if full != self.full and self.port:
+        if full != self.full and not self.shut:
             self.full = full
             (self.port.stopReading if full else self.port.startReading)()
 
+    def shut_door(self):
+        """Accept nobody any more."""
+        if not self.shut:
+            self.shut = True
+            self.port.stopListening()
+
     def idle(self, client):
         """Nothing is owed on it."""
         self.resting[client.number] = client
-        if self.full:
-            self.see_to_room()
 
     def busy(self, client):
         """A request has begun, or the connection ends."""
@@ -151,8 +181,7 @@
         """A client's connection has ended."""
         self.busy(client)
         self.table.remove(client.number)
-        if self.full:
-            self.see_to_room()
+        self.see_to_room()
 
     def again(self, client):
         """More was sent behind the request just answered: read it in a turn of its own."""
@@ -179,7 +208,7 @@
     def close_idle(self):
         """Ask clients between requests to go."""
         for client in list(self.resting.values()):
-            client.transport.loseConnection()
+            client.part()
 
     def requested(self, client, message):
         """A whole request: to the node, or answered here."""
@@ -203,7 +232,9 @@
         told = message.field(b'req-deadline')
         owner = message.field(b'req-owner')
         try:
-            wait = down(number(told.decode('latin-1'))) if told is not None else self.terms.profiles[row].hard
+            wait = hard = self.terms.profiles[row].hard
+            if told is not None:
+                wait = min(hard, down(number(told.decode('latin-1'))))
         except BadLine:
             wait = -1
         tenant = self.tenants.get(owner) if owner else 0
@@ -215,6 +246,6 @@
         self.node.take(client, message, row, tenant, key, client.since + wait)
 
     def stay(self, client):
-        """Whether the connection is kept after this answer."""
-        client.lasting = client.lasting and not self.node.leaving()
+        """Whether the connection is kept after this answer: others may wait for its place."""
+        client.lasting = client.lasting and not self.full and not self.node.leaving()
         return client.lasting
--- a/lilacdyke/net/logs.py
+++ b/lilacdyke/net/logs.py
@@ -3,6 +3,7 @@
 Owns the form of a line. Must never be called for each request, and never holds anything back.
 """
 
+import json
 import logging
 import sys
 from time import gmtime, strftime
@@ -25,17 +26,36 @@
     @staticmethod
     def quoted(text):
         """Quoted where a reader could take it for more than one value."""
-        if text and not any(c in ' ="\\' or not c.isprintable() for c in text):
+        if text and text.isprintable() and not set(text) & set(' ="\\'):
             return text
-        return '"%s"' % ''.join(c if c.isprintable() and c not in '"\\' else
-                                c.encode('unicode_escape').decode() if c not in '"\\' else '\\' + c
-                                for c in text)
+        return json.dumps(text)
+
+
+class Sparse(logging.Filter):
+    """Guards against a fault that every request meets: its trace is written so often a minute, no more."""
+
+    MOST = 5
+
+    def __init__(self):
+        super().__init__()
+        self.minute, self.seen = 0, {}
+
+    def filter(self, record):
+        """Whether this record is written."""
+        if record.levelno < logging.ERROR:
+            return True
+        if record.created - self.minute >= 60:
+            self.minute, self.seen = record.created, {}
+        event = record.getMessage()
+        self.seen[event] = self.seen.get(event, 0) + 1
+        return self.seen[event] <= self.MOST
 
 
 def begin(level):
     """Send the package's and Twisted's lines to standard error in this form."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValue())
+    handler.addFilter(Sparse())
     logging.basicConfig(level=logging.WARNING, handlers=[handler], force=True)
     LOG.setLevel(level.upper())
 
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -5,7 +5,6 @@
 itself what the module could: it only keeps what the protocol owes (one answer to all that is taken).
 """
 
-import logging
 import resource
 import signal
 from random import Random
@@ -21,7 +20,7 @@
 from ..values import SECOND, BadLine, seconds
 
 STARTING, SERVING, DRAINING, STOPPED = 'starting', 'serving', 'draining', 'stopped'
-SPARE = 24                              # descriptors for all but clients and caches
+SPARE, LEAST = 24, 4                    # descriptors for all but clients and caches; what each has at least
 COMING = 5_000                          # after SIGTERM clients go on coming for less than this
 FIGURES = 10 * SECOND                   # between two lines of figures
 
@@ -59,14 +58,12 @@
         self.chance = Random(place.seed).random
         self.router = Router(place.terms, place.seed, place.rank)
         self.servers = {}
-        self.errands, self.passages, self.links, self.clients = Table(), Table(), Table(), Table()
+        self.errands, self.passages = Table(), Table()
         self.deadlines = Deadlines(self.clock, reactor.callLater)
-        budget = (self.descriptors() - SPARE) // 2
-        self.front = Front(self, self.deadlines, self.clock, place.terms, self.clients, budget)
+        budget = max(LEAST, (self.descriptors() - SPARE) // 2)
+        self.front = Front(self, self.deadlines, self.clock, place.terms, budget)
         self.caches = Caches(reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault)
-        self.caches.table, self.caches.dialling = self.links, Table()
-        self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self.links, self,
-                                   warn)
+        self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self)
         self.pulling = False
         self.counts = {}
 
@@ -88,8 +85,7 @@
             self.remember(entries)
         except BadLine as err:
             warn('remembered list not read', reason=err)
-        host, port = self.place.listen
-        self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        self.front.listen(self.reactor, *self.place.listen)
         self.phase = SERVING
         if self.discovery.pushed:
             self.discovery.open()
@@ -108,24 +104,23 @@
 
     def drain(self, signum=signal.SIGTERM, _=None):
         """SIGTERM: answer all that is taken and all that still comes, then exit."""
-        if self.phase == SERVING:
+        if self.phase in (STARTING, SERVING):
             self.phase = DRAINING
-            say('draining', signal=signum, open=len(self.errands), clients=len(self.clients))
-            self.deadlines.at(self.clock() + COMING, self.leave, 0)
+            say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table))
+            self.deadlines.at(self.clock() + COMING, self.leave, self.clock())
 
-    def leave(self, _):
-        """No more clients come; exit once nothing is owed."""
+    def leave(self, since):
+        """Clients have stopped coming: ask those that are idle to go, and exit once nothing is owed."""
         now = self.clock()
-        if now < self.front.came + COMING // 2:
-            self.deadlines.at(self.front.came + COMING // 2, self.leave, 0)
-            return
         self.front.close_idle()
-        if len(self.errands) or len(self.clients):
-            self.deadlines.at(now + COMING // 20, self.leave, 0)
-        elif self.phase == DRAINING:
+        if now >= min(self.front.came, since + COMING) + COMING // 2:
+            self.front.shut_door()
+        if self.front.shut and not len(self.front.table) or now >= since + 2 * COMING + self.front.slowest:
             self.phase = STOPPED
-            say('stopped', **self.counts)
+            say('stopped', open=len(self.errands), **self.counts)
             self.reactor.stop()
+        else:
+            self.deadlines.at(now + COMING // 20, self.leave, since)
 
     # --- clients ----------------------------------------------------------------------------------------
 
@@ -141,15 +136,19 @@
 
     def client_gone(self, errand):
         """A client closed without waiting for its answer."""
-        self.errands.remove(errand.number)
+        self.forget(errand)
         self.count('gone')
         self.router.client_gone(self.clock(), errand.tx)
         self.settle()
 
+    def forget(self, errand):
+        """The client has its answer, or needs none; the hops may still end."""
+        self.errands.remove(errand.number)
+
     def reply(self, errand, status, text='', more=''):
         """The final answer of the node's own."""
+        self.forget(errand)
         client = errand.client
-        self.errands.remove(errand.number)
         client.reply(http.answer(status, self.front.stay(client), text, more))
 
     def limit_due(self, number):
@@ -191,7 +190,7 @@
         now = self.clock()
         open_ = self.errands.get(errand.number) is errand
         if how == 'committed' and open_:
-            self.errands.remove(errand.number)
+            self.forget(errand)
             self.count('committed')
             errand.client.reply(http.relayed(answer, self.front.stay(errand.client)))
         note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
@@ -259,7 +258,7 @@
         passage = Passage(errand, hop)
         passage.number = self.passages.add(passage)
         errand.trips.append(passage)
-        passage.trip = self.caches.send(hop.server, http.request(errand.message, max(1, until - now)))
+        passage.trip = self.caches.send(hop.server, errand.message, until)
         passage.trip.done.addBoth(self.arrived, passage.number).addErrback(self.fault)
         if until < hop.tx.limit:
             self.deadlines.at(until, self.patience_due, passage.number)
@@ -310,7 +309,7 @@
 
     def figures(self, _):
         """A line of counts since the start."""
-        say('figures', open=len(self.errands), clients=len(self.clients), links=self.caches.open,
+        say('figures', open=len(self.errands), clients=len(self.front.table), links=self.caches.open,
             memory_kb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss, **self.counts)
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
 
@@ -318,11 +317,16 @@
 def serve(place):
     """Run a node until it has drained."""
     from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
     from twisted.logger import STDLibLogObserver, globalLogBeginner
     globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
     node = Node(place, reactor)
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, lambda n, _: reactor.callFromThread(node.drain, n))
-    reactor.callWhenRunning(node.start)
+    try:
+        node.start()
+    except CannotListenError as err:
+        warn('cannot listen', reason=err)
+        return 1
     reactor.run(installSignalHandlers=False)
-    logging.shutdown()
+    return 0
