Descriptors running out loses no client: idle ones make way only if quiet

Seen: a probe with 64 descriptors and 60 clients at once: 43 connections ended with no answer. Checked: no EMFILE, no fault in the log; the evicted were idle by our books only, their requests lay unread in the system. At fault: Front.opened, which ended the longest idle client for each newcomer. Now one is ended only after 0.1 s of idleness and with nothing unread; else nobody is accepted until a place is free.

Tests of the node without sockets. Initial state of a connection said it was half written, so an unused one was reset instead of closed: mended.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -32,6 +32,18 @@
     return 'error'
 
 
+def quiet(transport):
+    """Whether nothing lies unread on a connection, not even its end. Guards against a hop sent on a connection
+    that has ended, and against closing on a request that has come."""
+    try:
+        transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 class Trip:
     """One hop under way: the client's request, until when it is waited for, and where it is."""
 
@@ -60,7 +72,8 @@
 
     def __init__(self, pool):
         self.pool, self.reader = pool, Reader(ANSWER)
-        self.trip, self.left = None, False      # left: the hop's last byte went to the system
+        self.trip = None
+        self.left = None                # whether the hop's last byte went to the system; None: none was written
         self.number, self.idle_until, self.timed = None, None, False
 
     def connectionMade(self):
@@ -83,16 +96,6 @@
     def stopProducing(self):
         """The connection has ended: connectionLost tells."""
 
-    def alive(self):
-        """Guards against a hop sent on a connection whose end lies unread in the system."""
-        try:
-            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False                    # it has ended, or says what nobody asked
-
     def dataReceived(self, data):
         if not self.trip:
             self.close()
@@ -159,7 +162,7 @@
         while self.resting:
             link = self.resting[-1]
             self.wake(link)
-            if link.alive():
+            if quiet(link.transport):
                 link.carry(trip)
                 return
             link.close()
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -115,6 +115,12 @@
         self.version, self.failures = None, 0
         self.watch, self.opening, self.heard = None, None, 0
 
+    def close(self):
+        """The node ends."""
+        watch, self.watch = self.watch, None
+        if watch and watch.transport:
+            watch.transport.abortConnection()
+
     def request(self):
         """The head that asks for all that came after what the node holds."""
         index = '' if self.version is None else '&index=%d' % self.version
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -7,12 +7,14 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from . import http
+from .caches import quiet
 from .http import BadMessage, Reader
 from .logs import LOG
 from .tables import Table
 from ..values import BadLine, down, number
 
 LINGER = 10_000                         # for a client to read a last answer and close by itself
+RESTED = 1_000                          # an idle client may be closed to make room after this
 NEARLY = 2                              # descriptors before the last one: idle clients begin to make way
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
 
@@ -23,7 +25,7 @@
     def __init__(self, front):
         self.front, self.reader = front, Reader(http.REQUEST)
         self.number = self.errand = None        # errand: what the node makes of the present request
-        self.since = 0                  # when the present request's first byte was read
+        self.since = 0                  # when the present request's first byte was read, or idleness began
         self.lasting, self.ending = True, False
 
     def connectionMade(self):
@@ -151,17 +153,30 @@
         until one has gone; they wait in the system's queue and lose nothing."""
         client.number = self.table.add(client)
         self.came = self.clock()
-        if len(self.table) >= self.budget - NEARLY and self.resting:
-            next(iter(self.resting.values())).part()
         self.idle(client)
+        if len(self.table) >= self.budget - NEARLY:
+            self.make_room()
         self.see_to_room()
 
+    def make_room(self, _=0):
+        """The longest idle client goes, if it has been idle for a while and no request of its lies unread."""
+        for client in self.resting.values():
+            if self.clock() < client.since + RESTED:
+                break
+            if quiet(client.transport):
+                client.part()
+                break
+        if self.full:
+            self.deadlines.at(self.clock() + RESTED // 10, self.make_room, 0)
+
     def see_to_room(self):
         """Accept while there is room."""
         full = len(self.table) >= self.budget
         if full != self.full and not self.shut:
             self.full = full
             (self.port.stopReading if full else self.port.startReading)()
+            if full:
+                self.deadlines.at(self.clock() + RESTED // 10, self.make_room, 0)
 
     def shut_door(self):
         """Accept nobody any more."""
@@ -171,6 +186,7 @@
 
     def idle(self, client):
         """Nothing is owed on it."""
+        client.since = self.clock()
         self.resting[client.number] = client
 
     def busy(self, client):
@@ -208,7 +224,8 @@
     def close_idle(self):
         """Ask clients between requests to go."""
         for client in list(self.resting.values()):
-            client.part()
+            if quiet(client.transport):
+                client.part()
 
     def requested(self, client, message):
         """A whole request: to the node, or answered here."""
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -50,10 +50,10 @@
 class Node:
     """One node from start to exit."""
 
-    def __init__(self, place, reactor):
-        self.place, self.reactor = place, reactor
+    def __init__(self, place, reactor, elapsed=monotonic):
+        self.place, self.reactor, self.elapsed = place, reactor, elapsed
         self.phase = STARTING
-        self.zero = monotonic() - 1     # the module's clock starts at one second
+        self.zero = elapsed() - 1       # the module's clock starts at one second
         self.offset = self.clock() - int(time() * SECOND)
         self.chance = Random(place.seed).random
         self.router = Router(place.terms, place.seed, place.rank)
@@ -69,7 +69,7 @@
 
     def clock(self):
         """The module's time."""
-        return int((monotonic() - self.zero) * SECOND)
+        return int((self.elapsed() - self.zero) * SECOND)
 
     def descriptors(self):
         """How many this process may hold."""
@@ -117,6 +117,7 @@
             self.front.shut_door()
         if self.front.shut and not len(self.front.table) or now >= since + 2 * COMING + self.front.slowest:
             self.phase = STOPPED
+            self.discovery.close()
             say('stopped', open=len(self.errands), **self.counts)
             self.reactor.stop()
         else:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,14 @@
 """What the tests build their states from."""
 
+import json
+
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from lilacdyke.decode import place
 from lilacdyke.logic import Hop, Router, Server
+from lilacdyke.net.node import Node
 from lilacdyke.terms import IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT, Profile, SiteTerms
 
 READ, KEPT, ONCE = range(3)
@@ -61,3 +69,128 @@
     server.out -= 1
     made.total_out -= 0 if server.origin else 1
     return hop
+
+
+# --- the node on sockets ------------------------------------------------------------------------------------------
+
+SETTINGS = {
+    'balancers': 2, 'rank': 0, 'zone': 0, 'tickS': 0.005, 'kindOfService': 'cache', 'membershipMode': 'pushed',
+    'kinds': ['std', 'origin'],
+    'profiles': [{'name': 'read', 'effect': 'free', 'group': 'all', 'repeatWindowS': 1, 'serviceGoalS': 0.5,
+                  'lateRevenue': 0.0, 'hardLimitS': 2.0},
+                 {'name': 'once', 'effect': 'single_shot', 'group': 'all', 'repeatWindowS': 1,
+                  'serviceGoalS': 0.5, 'lateRevenue': 0.0, 'hardLimitS': 2.0}],
+    'fees': {'handshake': 0.0, 'connection': 0.0}, 'tenants': [],
+    'familyInfo': {'mode': 'aside', 'originKind': 1},
+    'limits': {'retryAfter': True, 'mayDuplicate': True, 'cancel': True, 'maxHops': 5, 'maxRetryAfterS': 1.0,
+               'connIdleS': 15.0, 'connectTimeoutS': 0.25},
+    'safety': {'stopSendingWithinS': 0.4, 'askWithinS': 10.0, 'fallMultiple': 4.0, 'overloadForS': 1.5,
+               'coldFrom': 0.13, 'warmUpS': 24.0}}
+
+
+def entry(name, kind='std', state='SERVING', **other):
+    """One server as discovery lists it."""
+    row = {'instanceId': name, 'hostPort': '127.0.0.1:8000', 'zone': 'a', 'machineType': kind, 'cell': 0,
+           'lifecycle': state, 'weight': 1.0, 'startedAtMs': 0}
+    row.update(other)
+    return row
+
+
+def page(**other):
+    """A node's page, as text."""
+    given = {'name': 'n0', 'listen': '127.0.0.1:9000', 'discovery': '127.0.0.1:8500', 'seed': '8c1f',
+             'limits': {'cores': 1.0, 'memory_mb': 192, 'sockets': 1024}, 'settings': SETTINGS,
+             'known': {'generation': 4, 'reset': True, 'instances': [entry('c0'), entry('o', 'origin')]}}
+    given.update(other)
+    return json.dumps(given)
+
+
+class Wire(StringTransport):
+    """A connection that holds what is written and may have something unread."""
+
+    unread, aborted, half_closed = None, False, False
+
+    def setTcpNoDelay(self, on):
+        """Nothing to set here."""
+
+    def getHandle(self):
+        return self
+
+    def recv(self, count, flags):
+        if self.unread is None:
+            raise BlockingIOError
+        return self.unread[:count]
+
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+        producer.resumeProducing()
+
+    def flush(self):
+        """All that was written has left."""
+        if self.producer:
+            self.producer.resumeProducing()
+
+    def loseWriteConnection(self):
+        self.half_closed = True
+
+    def abortConnection(self):
+        self.aborted = True
+
+    @property
+    def ended(self):
+        return self.aborted or self.disconnecting or self.half_closed
+
+
+def node(**other):
+    """A node that serves, on a reactor of its own; its clock is that reactor's."""
+    reactor = MemoryReactorClock()
+    made = Node(place(page(**other)), reactor, reactor.seconds)
+    made.start()
+    made.front.port.stopReading = made.front.port.startReading = lambda: None
+    return made
+
+
+def client(made):
+    """A client's connection to the node: (protocol, wire)."""
+    protocol, wire = made.front.buildProtocol(None), Wire()
+    protocol.makeConnection(wire)
+    return protocol, wire
+
+
+def dialled(made, which=-1):
+    """Let a connection that the node opens come up: its wire."""
+    wire = Wire()
+    wire.protocol = made.reactor.tcpClients[which][2].buildProtocol(None)
+    wire.protocol.makeConnection(wire)
+    return wire
+
+
+def refused(made, which=-1):
+    """Let a connection that the node opens be refused."""
+    made.reactor.tcpClients[which][2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+
+def asked(made, text='GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\n\r\n'):
+    """A client that has sent a request: its wire."""
+    protocol, wire = client(made)
+    protocol.dataReceived(text.encode())
+    wire.protocol = protocol
+    return wire
+
+
+def sent(made, *given):
+    """A client whose request has gone to a cache whole: (client's wire, cache's wire)."""
+    wire = asked(made, *given)
+    cache = dialled(made)
+    cache.flush()
+    return wire, cache
+
+
+def lost(wire):
+    """The connection ends."""
+    wire.protocol.connectionLost(Failure(ConnectionDone()))
+
+
+def said(status=200, body='abc', more=''):
+    """A cache's answer."""
+    return ('HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s' % (status, len(body), more, body)).encode()
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,482 @@
+"""The node on sockets, without sockets: clients, hops, discovery, phases, slots and deadlines."""
+
+import json
+import logging
+import unittest
+from errno import EMFILE
+
+from twisted.internet.error import ConnectBindError
+from twisted.python.failure import Failure
+
+from lilacdyke.logic import Server
+from lilacdyke.net import front as front_module
+from lilacdyke.net.discovery import Entry, started
+from lilacdyke.net.logs import KeyValue, Sparse
+from lilacdyke.net.node import DRAINING, SERVING, STOPPED
+from lilacdyke.net.tables import Deadlines, Table
+from lilacdyke.values import BadLine
+
+from .helpers import asked, client, dialled, entry, lost, node, refused, said, sent
+
+PUT = 'PUT /%s/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\nhi'
+
+
+def status(wire):
+    """The status of the first answer on a client's wire; None while there is none."""
+    return int(wire.value()[9:12]) if wire.value() else None
+
+
+def chunk(value):
+    """One line of the watch; None: the empty one."""
+    line = (json.dumps(value) if value is not None else '').encode() + b'\n'
+    return b'%x\r\n%s\r\n' % (len(line), line)
+
+
+def watched(made):
+    """The node's watch, with its head read: its wire."""
+    wire = dialled(made, 0)
+    wire.protocol.dataReceived(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+    return wire
+
+
+class Quiet(unittest.TestCase):
+    """Silences what the node logs."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+
+    def tearDown(self):
+        logging.disable(logging.NOTSET)
+
+
+class Slots(unittest.TestCase):
+    def test_a_late_number_does_not_find_the_next_holder(self):
+        table = Table()
+        first = table.add('a')
+        table.remove(first)
+        second = table.add('b')
+        self.assertEqual((table.get(first), table.get(second), len(table), list(table)), (None, 'b', 1, ['b']))
+
+    def test_removing_twice_frees_once(self):
+        table = Table()
+        number = table.add('a')
+        table.remove(number)
+        table.remove(number)
+        self.assertEqual((table.add('b') != table.add('c'), len(table)), (True, 2))
+
+
+class Timing(Quiet):
+    def test_a_fault_in_one_does_not_keep_the_others_from_their_time(self):
+        now, called, timers = [0], [], []
+        deadlines = Deadlines(lambda: now[0], lambda wait, call: timers.append((wait, call)) or self)
+        deadlines.at(5, {}.pop, 1)
+        deadlines.at(5, called.append, 2)
+        deadlines.at(9, called.append, 3)
+        now[0] = 5
+        timers[-1][1]()
+        self.assertEqual((called, timers[-1][0]), ([2], 4 / 10_000))
+
+    def test_one_timer_moved_when_something_is_due_sooner(self):
+        timers, cancelled = [], []
+        timer = type('Timer', (), {'cancel': lambda self: cancelled.append(1)})()
+        deadlines = Deadlines(lambda: 0, lambda wait, call: timers.append(wait) or timer)
+        for when in (50, 90, 20):
+            deadlines.at(when, print, 0)
+        self.assertEqual((timers, len(cancelled)), ([0.005, 0.002], 1))
+
+
+class Lines(unittest.TestCase):
+    def record(self, text='set aside', level=logging.INFO, **fields):
+        record = logging.LogRecord('x', level, '', 0, text, (), None)
+        record.fields = fields
+        return record
+
+    def test_one_line_whatever_the_values_hold(self):
+        line = KeyValue().format(self.record(server='a b', reason='x\ny="1"', count=3))
+        self.assertTrue(line.endswith('level=info event="set aside" server="a b" reason="x\\ny=\\"1\\"" count=3'))
+
+    def test_the_same_fault_is_written_a_few_times_only(self):
+        sparse = Sparse()
+        written = [sparse.filter(self.record('fault', logging.ERROR)) for _ in range(9)]
+        self.assertEqual(written.count(True), Sparse.MOST)
+
+
+class Clients(Quiet):
+    def test_a_served_request(self):
+        wire, cache = sent(node())
+        cache.protocol.dataReceived(said(body='value'))
+        self.assertEqual(wire.value(), b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue')
+
+    def test_bad_requests(self):
+        start = 'GET /read/k HTTP/1.1\r\n'
+        cases = {'nonsense\r\n\r\n': (400, True), 'GET /nope HTTP/1.1\r\nHost: x\r\n\r\n': (404, False),
+                 'GET / HTTP/1.1\r\nHost: x\r\n\r\n': (404, False), 'GET * HTTP/1.1\r\nHost: x\r\n\r\n': (404, False),
+                 'POST /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\n\r\n': (405, False),
+                 start + 'Host: x\r\n\r\n': (400, True), start + 'Req-Id: 1\r\n\r\n': (400, True),
+                 start + 'Host: x\r\nReq-Id: 1\r\nReq-Deadline: soon\r\n\r\n': (400, True),
+                 start + 'Host: x\r\nReq-Id: 1\r\nReq-Deadline: -1\r\n\r\n': (400, True),
+                 start + 'Host: x\r\nReq-Id: 1\r\nReq-Owner: nobody\r\n\r\n': (400, True),
+                 start + 'Content-Length: 70000\r\n\r\n': (413, True), start + 'a' * 20_000: (431, True)}
+        for text, expected in cases.items():
+            with self.subTest(text=text[:60]):
+                wire = asked(node(), text)
+                self.assertEqual((status(wire), wire.half_closed), expected)
+
+    def test_the_limit_runs_from_the_first_byte_and_not_beyond_the_profiles(self):
+        made = node()
+        wire = asked(made, 'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Deadline: 99\r\n')
+        made.reactor.advance(0.5)
+        since = made.clock() - 5_000
+        wire.protocol.dataReceived(b'Req-Id: 1\r\n\r\n')
+        self.assertEqual(wire.protocol.errand.tx.limit, since + 20_000)
+
+    def test_a_second_request_behind_the_first_waits_for_its_answer(self):
+        made = node()
+        wire, cache = sent(made, 'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\n\r\n'
+                                 'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+        cache.protocol.dataReceived(said())
+        made.reactor.advance(0.001)
+        self.assertEqual(wire.value().count(b'HTTP/1.1 200 OK'), 2)
+
+    def test_a_client_that_sends_ahead_without_end_is_paused(self):
+        wire, _ = sent(node())
+        wire.protocol.dataReceived(b'x' * (front_module.HELD + 1))
+        self.assertEqual(wire.producerState, 'paused')
+
+    def test_half_a_request_is_not_waited_for_without_end(self):
+        made = node()
+        wire = asked(made, 'GET /read/k HT')
+        made.reactor.pump([0.5] * 5)
+        self.assertEqual((status(wire), wire.half_closed), (408, True))
+
+    def test_a_client_that_never_closes_is_cut(self):
+        made = node()
+        wire = asked(made, 'nonsense\r\n\r\n')
+        made.reactor.advance(1.1)
+        self.assertTrue(wire.aborted)
+
+    def test_a_client_that_waits_to_send_its_body_is_told_to(self):
+        wire = asked(node(), PUT[:-2].replace('Host', 'Expect: 100-continue\r\nHost') % 'read')
+        self.assertEqual(wire.value(), b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def test_a_client_that_goes_ends_its_hops(self):
+        made = node()
+        wire, cache = sent(made)
+        lost(wire)
+        self.assertEqual((cache.disconnecting, len(made.errands), len(made.passages)), (True, 0, 0))
+
+    def test_a_fault_of_ours_is_answered(self):
+        made = node()
+        made.router.take = lambda *given: {}['fault']
+        wire = asked(made)
+        self.assertEqual((status(wire), len(made.errands)), (500, 0))
+
+
+class Room(Quiet):
+    """Running out of descriptors ends no node and loses no client."""
+
+    def setUp(self):
+        super().setUp()
+        self.made = node(limits={'cores': 1, 'memory_mb': 192, 'sockets': 32})      # four clients
+        self.front = self.made.front
+        self.reading = []
+        self.front.port.stopReading = lambda: self.reading.append(False)
+        self.front.port.startReading = lambda: self.reading.append(True)
+
+    def test_nobody_is_accepted_while_all_places_are_taken(self):
+        protocols = [client(self.made)[0] for _ in range(4)]
+        self.front.closed(protocols[0])
+        self.assertEqual(self.reading, [False, True])
+
+    def test_the_longest_idle_makes_way(self):
+        wires = [client(self.made)[1] for _ in range(2)]
+        self.made.reactor.advance(0.2)
+        client(self.made)
+        self.assertEqual([wire.ended for wire in wires], [True, False])
+
+    def test_one_with_a_request_unread_does_not(self):
+        wires = [client(self.made)[1] for _ in range(2)]
+        wires[0].unread = b'GET'
+        self.made.reactor.advance(0.2)
+        client(self.made)
+        self.assertEqual([wire.ended for wire in wires], [False, True])
+
+    def test_one_that_has_just_come_does_not(self):
+        wires = [client(self.made)[1] for _ in range(4)]
+        self.assertFalse(any(wire.ended for wire in wires))
+
+    def test_a_hop_without_a_descriptor_was_not_sent(self):
+        self.made.caches.budget = 0
+        wire = asked(self.made)
+        self.assertEqual((status(wire), self.made.counts['hops_unsent']), (503, 1))
+
+    def test_an_idle_connection_to_a_cache_makes_way(self):
+        wire, cache = sent(self.made)
+        cache.protocol.dataReceived(said())
+        self.made.caches.budget = 1
+        self.made.caches.room()
+        self.assertTrue(cache.disconnecting)
+
+    def test_the_system_running_out_is_no_word_about_the_cache(self):
+        asked(self.made)
+        self.made.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(ConnectBindError(EMFILE, 'full')))
+        self.assertEqual(self.made.counts['hops_unsent'], 1)
+
+
+class Hops(Quiet):
+    def ended(self, made):
+        """The endings of hops that the module was told."""
+        return sorted(what[5:] for what in made.counts if what.startswith('hops_'))
+
+    def test_what_an_answer_says(self):
+        cases = {said(200): 'committed', said(404): 'missing', said(500): 'error', said(302): 'error',
+                 said(503): 'error', said(503, more='Srv-Declined: 1\r\n'): 'refused',
+                 said(504, more='Srv-Declined: 1\r\n'): 'refused', b'HTTP/1.1 100 Continue\r\n\r\n' + said(): 'committed',
+                 b'nonsense\r\n\r\n': 'lost', said(200, 'x' * 70_000): 'lost', b'HTTP/1.1 200 OK\r\n\r\n': 'lost'}
+        for answer, how in cases.items():
+            with self.subTest(answer=answer[:60]):
+                made = node()
+                sent(made, PUT % 'once' if how == 'lost' else PUT % 'read')[1].protocol.dataReceived(answer)
+                self.assertEqual(self.ended(made), [how])
+
+    def test_a_half_answer_is_no_answer(self):
+        made = node()
+        wire, cache = sent(made, PUT % 'once')
+        cache.protocol.dataReceived(said(body='value')[:-1])
+        lost(cache)
+        self.assertEqual((self.ended(made), status(wire)), (['lost'], 502))
+
+    def test_broken_before_the_last_byte_left_it_never_ran(self):
+        made = node()
+        asked(made, PUT % 'once')
+        dials = len(made.reactor.tcpClients)
+        lost(dialled(made))
+        self.assertEqual((self.ended(made), len(made.reactor.tcpClients)), (['unreachable'], dials + 1))
+
+    def test_broken_after_it_it_may_have_run_and_nothing_goes_again(self):
+        made = node()
+        wire, cache = sent(made, PUT % 'once')
+        dials = len(made.reactor.tcpClients)
+        lost(cache)
+        self.assertEqual((self.ended(made), status(wire), len(made.reactor.tcpClients)), (['lost'], 502, dials))
+
+    def test_refused_connections_never_ran(self):
+        made = node()
+        asked(made)
+        refused(made)
+        self.assertEqual(self.ended(made), ['unreachable'])
+
+    def test_a_connection_that_never_comes_up_is_given_up_in_time(self):
+        made = node()
+        asked(made)
+        made.reactor.advance(0.26)
+        self.assertEqual(self.ended(made), ['unreachable'])
+
+    def test_a_hop_past_its_limit_ends_with_its_connection_and_the_client_is_answered(self):
+        made = node()
+        wire, cache = sent(made, PUT % 'once')
+        made.reactor.pump([0.1] * 21)
+        self.assertEqual((self.ended(made), cache.disconnecting, status(wire)), (['expired'], True, 504))
+
+    def test_a_kept_connection_carries_the_next_hop(self):
+        made = node()
+        _, cache = sent(made)
+        cache.protocol.dataReceived(said())
+        dials = len(made.reactor.tcpClients)
+        asked(made)
+        self.assertEqual((len(made.reactor.tcpClients), cache.value().count(b'GET /read/k')), (dials, 2))
+
+    def test_a_connection_whose_end_lies_unread_does_not(self):
+        made = node()
+        _, cache = sent(made)
+        cache.protocol.dataReceived(said())
+        cache.unread = b''
+        dials = len(made.reactor.tcpClients)
+        asked(made)
+        self.assertEqual((len(made.reactor.tcpClients), cache.disconnecting), (dials + 1, True))
+
+    def test_nor_one_whose_answer_said_close_or_more_than_was_asked(self):
+        for answer in (said(more='Connection: close\r\n'), said() + b'x'):
+            made = node()
+            _, cache = sent(made)
+            cache.protocol.dataReceived(answer)
+            self.assertEqual((cache.disconnecting, made.caches.resting), (True, {}))
+
+    def test_idle_connections_close_well_before_the_server_does(self):
+        made = node()
+        _, cache = sent(made)
+        cache.protocol.dataReceived(said())
+        made.reactor.advance(9.1)
+        self.assertTrue(cache.disconnecting)
+
+    def test_a_connection_that_comes_free_serves_who_waits(self):
+        made = node()
+        _, cache = sent(made)
+        asked(made)
+        cache.protocol.dataReceived(said())
+        refused(made)
+        self.assertEqual((cache.value().count(b'GET /read/k'), self.ended(made)), (2, ['committed']))
+
+    def test_nothing_leaves_for_a_server_that_began_to_drain_meanwhile(self):
+        made = node()
+        asked(made)
+        next(server for server in made.servers.values() if server.name == 'c0').state = 'draining'
+        cache = dialled(made)
+        self.assertEqual((cache.value(), cache.disconnecting), (b'', True))
+
+    def test_a_hop_tells_how_long_it_is_waited_for_from_when_it_leaves(self):
+        made = node()
+        asked(made)
+        made.reactor.advance(0.2)
+        self.assertIn(b'Req-Deadline: 1.8', dialled(made).value())
+
+    def test_the_answer_is_owed_even_if_the_module_gives_none(self):
+        made = node()
+        wire, _ = sent(made)
+        made.router.decide = lambda now: None
+        made.reactor.pump([0.1] * 21)
+        self.assertEqual((status(wire), len(made.errands)), (504, 0))
+
+
+class Discovered(Quiet):
+    def test_a_change_reaches_the_module(self):
+        made = node()
+        watched(made).protocol.dataReceived(chunk({'generation': 5, 'reset': False, 'instances': [
+            entry('c0', state='DRAINING'), entry('c1')]}))
+        self.assertEqual(([s.name for s in made.router.caches], made.discovery.version), (['c1'], 5))
+
+    def test_what_a_whole_list_lacks_is_gone(self):
+        made = node()
+        watched(made).protocol.dataReceived(chunk({'generation': 5, 'reset': True, 'instances': [entry('c9')]}))
+        self.assertEqual(([s.name for s in made.router.caches], made.router.origin), (['c9'], None))
+
+    def test_bad_lines_end_the_watch_and_keep_the_list(self):
+        good = {'generation': 5, 'reset': True, 'instances': [entry('c9')]}
+        bad = [dict(good, generation='5'), dict(good, reset=0), dict(good, instances={}), 7, [],
+               dict(good, instances=[entry('c9', hostPort='cache.local:80')]),
+               dict(good, instances=[entry('c9', state='ASLEEP')]),
+               dict(good, instances=[entry('c9', weight=float('nan'))]), dict(good, instances=[entry('c9', cell=True)])]
+        for line in [chunk(value) for value in bad] + [b'2\r\n{\n\r\n', b'zz\r\n', b'0\r\n\r\n']:
+            with self.subTest(line=line[:70]):
+                made = node()
+                wire = watched(made)
+                wire.protocol.dataReceived(line)
+                self.assertEqual((wire.aborted, [s.name for s in made.router.caches], made.discovery.version),
+                                 (True, ['c0'], 4))
+
+    def test_no_watch_is_no_list(self):
+        made = node()
+        wire = dialled(made, 0)
+        wire.protocol.dataReceived(b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n')
+        self.assertEqual((wire.aborted, made.discovery.failures), (True, 1))
+
+    def test_a_silent_watch_is_dead_and_one_with_empty_lines_is_not(self):
+        for line, dead in ((b'', True), (chunk(None), False)):
+            made = node()
+            wire = watched(made)
+            for _ in range(3):
+                made.reactor.advance(1.9)
+                if line:
+                    wire.protocol.dataReceived(line)
+            self.assertEqual(wire.aborted, dead)
+
+    def test_tries_come_ever_later_and_ask_for_what_came_since(self):
+        made, times = node(), []
+        for _ in range(8):
+            refused(made)
+            tries = len(made.reactor.tcpClients)
+            while len(made.reactor.tcpClients) == tries:
+                made.reactor.advance(0.01)
+            times.append(made.clock())
+        waits = [later - sooner for sooner, later in zip(times, times[1:])]
+        self.assertTrue(waits[0] < waits[2] < waits[4] <= 15_100 and max(waits) <= 15_100)
+        self.assertIn(b'index=4 ', dialled(made).value())
+
+    def test_unix_time_becomes_the_modules(self):
+        made = node()
+        self.assertEqual(started(Entry(entry('c', startedAtMs=-made.offset / 10)), made.offset), 0)
+        self.assertIsNone(started(Entry(entry('c')), made.offset))
+
+    def test_a_server_that_moved_is_not_reached_where_it_was(self):
+        made = node()
+        _, cache = sent(made)
+        cache.protocol.dataReceived(said())
+        made.listed(False, [Entry(entry('c0', hostPort='127.0.0.1:8001'))])
+        asked(made)
+        self.assertEqual((cache.disconnecting, made.reactor.tcpClients[-1][1]), (True, 8001))
+
+    def test_connections_to_who_drains_are_not_kept(self):
+        made = node()
+        _, cache = sent(made)
+        cache.protocol.dataReceived(said())
+        made.listed(False, [Entry(entry('c0', state='DRAINING'))])
+        self.assertTrue(cache.disconnecting)
+
+
+class Phases(Quiet):
+    def test_ready_only_when_it_can_serve(self):
+        empty = {'generation': 0, 'reset': True, 'instances': []}
+        for made, expected in ((node(), 200), (node(known=empty), 503), (node(known={}), 503)):
+            self.assertEqual(status(asked(made, 'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')), expected)
+
+    def test_draining_answers_what_comes_and_asks_to_close(self):
+        made = node()
+        made.drain()
+        wire, cache = sent(made)
+        cache.protocol.dataReceived(said())
+        self.assertEqual((made.phase, status(wire), wire.half_closed), (DRAINING, 200, True))
+        self.assertIn(b'Connection: close', wire.value())
+        self.assertEqual(status(asked(made, 'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')), 503)
+
+    def test_it_ends_once_nothing_is_owed(self):
+        made = node()
+        wire, cache = sent(made)
+        made.drain()
+        made.reactor.pump([0.1] * 10)
+        waiting = made.phase
+        cache.protocol.dataReceived(said())
+        lost(wire)
+        made.reactor.pump([0.1] * 10)
+        self.assertEqual((waiting, made.phase, made.reactor.hasStopped), (DRAINING, STOPPED, True))
+
+    def test_idle_clients_may_stay_as_long_as_new_ones_come(self):
+        made = node()
+        _, wire = client(made)
+        made.drain()
+        made.reactor.advance(0.45)
+        early = wire.ended
+        made.reactor.advance(0.1)
+        self.assertEqual((early, wire.disconnecting), (False, True))
+
+    def test_a_client_that_never_leaves_does_not_hold_the_exit(self):
+        made = node()
+        asked(made, 'GET /read/k HT')
+        made.drain()
+        made.reactor.pump([0.05] * 80)
+        self.assertEqual(made.phase, STOPPED)
+
+    def test_a_fault_in_the_module_ends_nothing(self):
+        made = node()
+        made.router.decide = lambda now: {}['fault']
+        made.settle()
+        self.assertEqual((made.phase, made.pulling), (SERVING, False))
+
+    def test_the_module_may_close_what_is_idle(self):
+        made = node()
+        _, cache = sent(made)
+        cache.protocol.dataReceived(said())
+        made.do_close(next(s for s in made.servers.values() if s.name == 'c0'))
+        self.assertTrue(cache.disconnecting)
+
+    def test_the_module_asks_for_the_watch_where_the_site_wants_that(self):
+        made = node()
+        made.discovery.pushed = False
+        made.router.watch_at = made.clock() + 1
+        refused(made)
+        self.assertGreater(made.router.failures, 0)
+
+    def test_the_origin_is_told_by_its_kind(self):
+        made = node()
+        self.assertIsInstance(made.router.origin, Server)
+        with self.assertRaises(BadLine):
+            Entry(entry('c', hostPort='127.0.0.1:0'))
