--- a/lilacdyke/decode.py
+++ b/lilacdyke/decode.py
@@ -1,7 +1,7 @@
 """Reads what operators fix beforehand, for the bench's adapter and for the node on sockets alike.
 
-Owns the form of the settings and of a node's own page (its name, addresses, limits). Names what is missing or out
-of form and never fills it in by itself; decides nothing.
+Owns the form of the settings and of a node's own page (its name, addresses, limits). Names what is
+missing or out of form and never fills it in by itself; decides nothing.
 """
 
 import json
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -1,8 +1,8 @@
 """Connections to cache servers and the hops on them.
 
-Owns each connection to a cache server or the origin from its dialling to its end, and what a hop's ending was: it
-alone knows whether a hop's last byte left. Must never send a hop a second time, choose a server, or pass on an
-answer that is not whole.
+Owns each connection to a cache server or the origin from its dialling to its end, and what a hop's ending
+was: it alone knows whether a hop's last byte left. Must never send a hop a second time, choose a server,
+or pass on an answer that is not whole.
 """
 
 import socket
@@ -33,8 +33,8 @@
 
 
 def quiet(transport):
-    """Whether nothing lies unread on a connection, not even its end. Guards against a hop sent on a connection
-    that has ended, and against closing on a request that has come."""
+    """Whether nothing lies unread on a connection, not even its end. Guards against a hop sent on one that
+    has ended, and against closing on a request that has come."""
     try:
         transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
@@ -73,7 +73,7 @@
     def __init__(self, pool):
         self.pool, self.reader = pool, Reader(ANSWER)
         self.trip = None
-        self.left = None                # whether the hop's last byte went to the system; None: none was written
+        self.left = None                # whether the hop's last byte went to the system; None: no hop yet
         self.number, self.idle_until, self.timed = None, None, False
 
     def connectionMade(self):
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -1,7 +1,7 @@
 """The watch on discovery: the list of servers and its changes.
 
-Owns the one connection to discovery, the version that the node holds, and the waits between tries. Must never guess
-at a line it cannot read, drop the list that the node has, or ask in a hurry.
+Owns the one connection to discovery, the version that the node holds, and the waits between tries. Must
+never guess at a line it cannot read, drop the list that the node has, or ask in a hurry.
 """
 
 import json
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -1,7 +1,7 @@
 """Clients: their connections, requests and answers.
 
-Owns each client's connection and which request is being answered on it. Must never decide about a transaction, end
-a connection that owes an answer, or let bad input raise out of it.
+Owns each client's connection and which request is being answered on it. Must never decide about a
+transaction, end a connection that owes an answer, or let bad input raise out of it.
 """
 
 from twisted.internet.protocol import Factory, Protocol
@@ -78,7 +78,8 @@
     def hint(self):
         """A client that asks whether to send its body is told to."""
         message = self.reader.message
-        if message and message.fields.pop(b'expect', b'').lower() == b'100-continue' and not self.reader.buffer:
+        asks = message and message.fields.pop(b'expect', b'').lower() == b'100-continue'
+        if asks and not self.reader.buffer:
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def refuse(self, status, text):
@@ -100,8 +101,8 @@
         self.transport.resumeProducing()
 
     def end(self):
-        """Close once the last answer is written. The client is let close first, for a while: ending with bytes
-        unread would reset the connection, and with it the answer."""
+        """Close once the last answer is written. The client is let close first, for a while: ending with
+        bytes unread would reset the connection, and with it the answer."""
         self.parting()
         self.transport.loseWriteConnection()
 
@@ -232,8 +233,8 @@
         method, target, _ = message.parts
         path = target.partition(b'?')[0]
         if path == b'/ready':
-            able = self.node.ready()
-            client.reply(http.answer(200 if able else 503, self.stay(client), 'ready\n' if able else 'not ready\n'))
+            status, text = (200, 'ready\n') if self.node.ready() else (503, 'not ready\n')
+            client.reply(http.answer(status, self.stay(client), text))
             return
         parts = path.split(b'/')
         row = self.profiles.get(parts[1]) if len(parts) > 1 and not parts[0] else None
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 as bytes: reads requests and answers out of a stream however it was cut, and writes heads.
 
-Owns the form of messages: bounds, framing, which header lines a hop passes on. Heads are matched in place in the
-buffer and passed on as slices. Must never touch a socket, keep more than one message's bounds, or guess at what is
-out of form: that is a BadMessage, with the status that a client should see.
+Owns the form of messages: bounds, framing, which header lines a hop passes on. Heads are matched in place
+in the buffer and passed on as slices. Must never touch a socket, keep more than one message's bounds, or
+guess at what is out of form: that is a BadMessage, with the status that a client should see.
 """
 
 import re
@@ -12,6 +12,7 @@
 ANSWER = re.compile(rb'HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n\0]*)?\r\n')
 FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\0]*)\r\n")
 SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n\0]*)?\r\n')
+BARE = re.compile(rb'1|204|304')        # answers that have no body
 DIGITS = re.compile(rb'[0-9]{1,12}\Z')
 # Lines that concern one connection only, or that every sender writes anew.
 OWN = frozenset((b'connection', b'keep-alive', b'proxy-connection', b'transfer-encoding', b'te', b'trailer',
@@ -215,7 +216,7 @@
             return
         if length is None:
             # An answer that would last until its connection ends cannot be told from a half one.
-            if self.first is ANSWER and message.parts[1] not in (b'204', b'304') and message.parts[1][0:1] != b'1':
+            if self.first is ANSWER and not BARE.match(message.parts[1]):
                 raise BadMessage(400, 'answer without a length')
             return
         lengths = {part.strip() for part in length.split(b',')}
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -1,8 +1,9 @@
 """The node: one object that holds the program's phases and calls the module.
 
-Owns the module's router, the clock, the transactions that are open and the hops under way, each in numbered slots.
-After every input it pulls the module's decisions until there are none and carries them out. Must never decide by
-itself what the module could: it only keeps what the protocol owes (one answer to all that is taken).
+Owns the module's router, the clock, the transactions that are open and the hops under way, each in
+numbered slots. After every input it pulls the module's decisions until there are none and carries them
+out. Must never decide by itself what the module could: it only keeps what the protocol owes (one answer
+to all that is taken).
 """
 
 import resource
@@ -153,7 +154,7 @@
         client.reply(http.answer(status, self.front.stay(client), text, more))
 
     def limit_due(self, number):
-        """The client's limit: hops end, and the module answers. Should it not, the answer is owed all the same."""
+        """The client's limit: hops end, and the module answers. Should it not, one is owed all the same."""
         errand = self.errands.get(number)
         if errand is None:
             return
--- a/lilacdyke/net/tables.py
+++ b/lilacdyke/net/tables.py
@@ -1,8 +1,8 @@
 """Numbered slots for what lives a while, and the node's one ordered structure of deadlines.
 
-Owns which number means what: a number is given out once, so an event that comes late finds nothing instead of the
-slot's next holder. Owns the one timer that the reactor holds for the node. Must never know what a slot holds or
-what a deadline is for.
+Owns which number means what: a number is given out once, so an event that comes late finds nothing
+instead of the slot's next holder. Owns the one timer that the reactor holds for the node. Must never know
+what a slot holds or what a deadline is for.
 """
 
 import logging
@@ -51,8 +51,8 @@
 
 
 class Deadlines:
-    """What is to be done when, in order of time, on one timer. Nothing is taken back: a deadline that has lost
-    its sense finds its number gone, or whoever it reminds looks at the time."""
+    """What is to be done when, in order of time, on one timer. Nothing is taken back: a deadline that has
+    lost its sense finds its number gone, or whoever it reminds looks at the time."""
 
     __slots__ = ('clock', 'later', 'heap', 'turn', 'timer', 'due')
 
