Guards: after a standstill sockets come first; one bad transaction stops no other

Found by reading. After a standstill of the machine Deadlines.fire called late what lay unread in the sockets; it now waits one turn of the reactor. A fault in a decision left its transaction first in line, so that every later pull met it again (Node.settle); it is now looked at next at its limit. The same warning is written five times a minute at most; settings without a profile end the start with one line.

--- a/lilacdyke/__main__.py
+++ b/lilacdyke/__main__.py
@@ -14,6 +14,9 @@
 
 def read(path):
     """The node's page at this path; what is wrong with it ends the program with one line."""
+    if not path:
+        click.echo('lilacdyke: no config: give --config or EDGE_CONFIG', err=True)
+        sys.exit(2)
     try:
         with open(path, encoding='utf-8') as file:
             return place(file.read())
@@ -22,7 +25,7 @@
         sys.exit(2)
 
 
-config = click.option('--config', envvar='EDGE_CONFIG', required=True, type=click.Path(),
+config = click.option('--config', envvar='EDGE_CONFIG', type=click.Path(),
                       help='The node\'s JSON page; by default what EDGE_CONFIG names.')
 
 
--- a/lilacdyke/decode.py
+++ b/lilacdyke/decode.py
@@ -18,10 +18,10 @@
     value = tree
     for name in path.split('.'):
         if not isinstance(value, dict) or name not in value:
-            raise BadLine('settings lack %s' % path)
+            raise BadLine('missing: %s' % path)
         value = value[name]
     if isinstance(value, bool) is not (kind is bool) or not isinstance(value, kind):
-        raise BadLine('settings: %s is out of form: %r' % (path, value))
+        raise BadLine('out of form: %s: %.200r' % (path, value))
     return value
 
 
@@ -29,7 +29,7 @@
     """The value at a path, which must be one of the known words."""
     word = _find(tree, path, str)
     if word not in known:
-        raise BadLine('settings: %s is unknown: %r' % (path, word))
+        raise BadLine('unknown: %s: %.200r' % (path, word))
     return word
 
 
@@ -85,6 +85,8 @@
         tick=up(_find(tree, 'tickS', real)),
         open_price=_find(tree, 'fees.handshake', real),
         keep_price=_find(tree, 'fees.connection', real))
+    if not terms.profiles or min(profile.goal for profile in terms.profiles) <= 0 or terms.nodes < 1:
+        raise BadLine('settings: no profile, a goal of nothing, or no node')
     origin_kind = _find(tree, 'familyInfo.originKind', int) if terms.aside else -1
     return terms, _find(tree, 'rank', int), origin_kind
 
--- a/lilacdyke/net/logs.py
+++ b/lilacdyke/net/logs.py
@@ -32,7 +32,8 @@
 
 
 class Sparse(logging.Filter):
-    """Guards against a fault that every request meets: its trace is written so often a minute, no more."""
+    """Guards against a fault, or a server's broken answers, that every request meets: the same event is
+    written so often a minute, no more."""
 
     MOST = 5
 
@@ -42,7 +43,7 @@
 
     def filter(self, record):
         """Whether this record is written."""
-        if record.levelno < logging.ERROR:
+        if record.levelno < logging.WARNING:
             return True
         if record.created - self.minute >= 60:
             self.minute, self.seen = record.created, {}
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -244,14 +244,24 @@
         """Pull the module's decisions until none is left."""
         if self.pulling:
             return                      # the pull that this came out of goes on
-        self.pulling = True
-        try:
-            while decision := self.router.decide(self.clock()):
-                getattr(self, 'do_' + decision[0])(*decision[1:])
-        except Exception:
-            LOG.exception('decision failed')
-        finally:
-            self.pulling = False
+        self.pulling, going = True, True
+        while going:
+            try:
+                decision = self.router.decide(self.clock())
+                if decision:
+                    getattr(self, 'do_' + decision[0])(*decision[1:])
+                going = bool(decision)
+            except Exception:
+                LOG.exception('decision failed')
+                going = self.pass_over()
+        self.pulling = False
+
+    def pass_over(self):
+        """Guards against a fault that one transaction meets: it is looked at next at its limit, the others go
+        on. Whether there are others."""
+        if self.router.ready:
+            self.router.ready.popleft()
+        return bool(self.router.ready)
 
     def do_send(self, hop, patience):
         """A hop goes out."""
--- a/lilacdyke/net/tables.py
+++ b/lilacdyke/net/tables.py
@@ -8,6 +8,7 @@
 import logging
 from heapq import heappop, heappush
 
+LATE = 100                              # a timer this late says that the machine stood still
 INDEX = 20                              # bits of a number that tell the slot; the rest tells its age
 
 
@@ -54,12 +55,12 @@
     """What is to be done when, in order of time, on one timer. Nothing is taken back: a deadline that has
     lost its sense finds its number gone, or whoever it reminds looks at the time."""
 
-    __slots__ = ('clock', 'later', 'heap', 'turn', 'timer', 'due')
+    __slots__ = ('clock', 'later', 'heap', 'turn', 'timer', 'due', 'stalled')
 
     def __init__(self, clock, later):
         self.clock, self.later = clock, later       # the present time; the reactor's callLater
         self.heap, self.turn = [], 0
-        self.timer, self.due = None, None
+        self.timer, self.due, self.stalled = None, None, False
 
     def at(self, when, call, number):
         """Call with this number at that time."""
@@ -78,8 +79,12 @@
 
     def fire(self):
         """All that is due; a fault in one does not keep the others from their time."""
-        self.timer = None
         now = self.clock()
+        if now > self.due + LATE and not self.stalled:
+            # Guards against calling late what lies unread: after a standstill sockets come first, for one turn.
+            self.stalled, self.timer = True, self.later(0, self.fire)
+            return
+        self.timer, self.stalled = None, False
         while self.heap and self.heap[0][0] <= now:
             call, number = heappop(self.heap)[2:]
             try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -76,6 +76,16 @@
         timers[-1][1]()
         self.assertEqual((called, timers[-1][0]), ([2], 4 / 10_000))
 
+    def test_after_a_standstill_sockets_come_first(self):
+        now, called, timers = [0], [], []
+        deadlines = Deadlines(lambda: now[0], lambda wait, call: timers.append((wait, call)) or self)
+        deadlines.at(5, called.append, 2)
+        now[0] = 5_000
+        timers[-1][1]()
+        before = list(called)
+        timers[-1][1]()
+        self.assertEqual((before, timers[-1][0], called), ([], 0, [2]))
+
     def test_one_timer_moved_when_something_is_due_sooner(self):
         timers, cancelled = [], []
         timer = type('Timer', (), {'cancel': lambda self: cancelled.append(1)})()
@@ -455,11 +465,15 @@
         made.reactor.pump([0.05] * 80)
         self.assertEqual(made.phase, STOPPED)
 
-    def test_a_fault_in_the_module_ends_nothing(self):
+    def test_a_fault_that_one_transaction_meets_does_not_stop_the_others(self):
         made = node()
-        made.router.decide = lambda now: {}['fault']
-        made.settle()
-        self.assertEqual((made.phase, made.pulling), (SERVING, False))
+        step, made.router.step = made.router.step, None
+        first = asked(made)
+        made.router.step = step
+        second = asked(made)
+        made.reactor.pump([0.1] * 21)
+        self.assertEqual((made.phase, status(first), len(made.reactor.tcpClients) > 1), (SERVING, 503, True))
+        self.assertIsNotNone(status(second))
 
     def test_the_module_may_close_what_is_idle(self):
         made = node()
