Hops end at their limit even uncancelled; a closing connection's place is free at once

Found by reading. Where hops may not be cancelled, one that lost its race to a silent server had no deadline once its client was answered (Node.do_send, limit_due) and stayed out for ever, with its connection and the module's count. With the caches' budget used up, Caches.room ended an idle connection and still said no, so the hop was not sent (Link.close). Both tests fail on the code before. Discovery's version is noted only once the node has taken the line.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -131,8 +131,10 @@
         self.close()
 
     def close(self):
-        """End the connection at once; what was not sent is not."""
+        """End the connection at once; what was not sent is not. Its place counts as free from here on, as
+        another hop may wait for that: the descriptor itself goes within a turn of the reactor."""
         self.pool.forget(self)
+        self.pool.caches.ended(self)
         if self.left is False:
             self.transport.abortConnection()
         else:
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Protocol
 
 from .http import ANSWER, BadMessage, Chunks, Reader
-from .logs import warn
+from .logs import LOG, warn
 from .tables import Table
 from ..decode import address
 from ..values import BadLine, up
@@ -75,6 +75,9 @@
                 self.lines()
         except (BadMessage, BadLine, ValueError, RecursionError) as err:
             self.discovery.lost(self, 'not read: %s' % err)
+        except Exception:
+            LOG.exception('fault')
+            self.discovery.lost(self, 'fault')
 
     def head(self):
         """Read the head; whether the lines begin."""
@@ -151,9 +154,8 @@
 
     def told(self, lines):
         """A line was read: the node learns it at once."""
-        self.version = lines[0]
-        self.failures = 0
         self.node.listed(*lines[1:])
+        self.version, self.failures = lines[0], 0
 
     def lost(self, watch, why):
         """The watch has ended; try again, ever later, with the list kept."""
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -34,12 +34,12 @@
 class Message:
     """One request or answer: the first line's parts, the header lines as spans of the head, the body."""
 
-    __slots__ = ('head', 'start', 'parts', 'lines', 'fields', 'body')
+    __slots__ = ('head', 'begun', 'start', 'parts', 'lines', 'fields', 'body')
 
     def __init__(self, head, first):
         self.head = head
         self.parts = first.groups()
-        self.start = first.end()
+        self.begun, self.start = first.end(2), first.end()      # ends of the second part and of the line
         self.lines, self.fields = [], {}
         self.body = b''
 
@@ -232,8 +232,7 @@
     tail = b'Req-Deadline: %d.%04d\r\n' % divmod(wait, 10_000)
     if message.body or message.parts[0] != b'GET':
         tail += b'Content-Length: %d\r\n' % len(message.body)
-    line = b'%s %s HTTP/1.1\r\n' % message.parts[:2]
-    return [line, *message.passed(), tail + b'\r\n', bytes(message.body)]
+    return [message.head[:message.begun], b' HTTP/1.1\r\n', *message.passed(), tail + b'\r\n', bytes(message.body)]
 
 
 def relayed(message, lasting):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -105,7 +105,7 @@
 
     def drain(self, signum=signal.SIGTERM, _=None):
         """SIGTERM: answer all that is taken and all that still comes, then exit."""
-        if self.phase in (STARTING, SERVING):
+        if self.phase == SERVING:
             self.phase = DRAINING
             say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table))
             self.deadlines.at(self.clock() + COMING, self.leave, self.clock())
@@ -144,13 +144,14 @@
         self.settle()
 
     def forget(self, errand):
-        """The client has its answer, or needs none; the hops may still end."""
+        """The client has its answer, or needs none; hops may still end, with nothing to hold on to. The client."""
         self.errands.remove(errand.number)
+        client, errand.client, errand.message = errand.client, None, None
+        return client
 
     def reply(self, errand, status, text='', more=''):
         """The final answer of the node's own."""
-        self.forget(errand)
-        client = errand.client
+        client = self.forget(errand)
         client.reply(http.answer(status, self.front.stay(client), text, more))
 
     def limit_due(self, number):
@@ -174,7 +175,8 @@
         passage.trip.done.cancel()
 
     def patience_due(self, number):
-        """A hop's own limit."""
+        """A hop's own limit. Guards also against one that nobody waits for at a site where hops may not be
+        cancelled: with the server gone silent it would be out for ever."""
         passage = self.passages.get(number)
         if passage:
             self.cut(passage, 'expired')
@@ -192,9 +194,9 @@
         now = self.clock()
         open_ = self.errands.get(errand.number) is errand
         if how == 'committed' and open_:
-            self.forget(errand)
+            client = self.forget(errand)
             self.count('committed')
-            errand.client.reply(http.relayed(answer, self.front.stay(errand.client)))
+            client.reply(http.relayed(answer, self.front.stay(client)))
         note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
         self.count('hops_' + how)
         self.router.hop_ended(now, hop, how, now - hop.sent, how == 'committed' or hop.tx.done, note)
@@ -272,8 +274,7 @@
         errand.trips.append(passage)
         passage.trip = self.caches.send(hop.server, errand.message, until)
         passage.trip.done.addBoth(self.arrived, passage.number).addErrback(self.fault)
-        if until < hop.tx.limit:
-            self.deadlines.at(until, self.patience_due, passage.number)
+        self.deadlines.at(until, self.patience_due, passage.number)
 
     def do_cancel(self, hop):
         """A hop is not waited for any more."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -221,11 +221,12 @@
         self.assertEqual((status(wire), self.made.counts['hops_unsent']), (503, 1))
 
     def test_an_idle_connection_to_a_cache_makes_way(self):
-        wire, cache = sent(self.made)
+        _, cache = sent(self.made)
         cache.protocol.dataReceived(said())
         self.made.caches.budget = 1
-        self.made.caches.room()
-        self.assertTrue(cache.disconnecting)
+        dials = len(self.made.reactor.tcpClients)
+        asked(self.made, PUT % 'once')          # to the origin
+        self.assertEqual((cache.disconnecting, len(self.made.reactor.tcpClients)), (True, dials + 1))
 
     def test_the_system_running_out_is_no_word_about_the_cache(self):
         asked(self.made)
@@ -288,6 +289,15 @@
         made.reactor.pump([0.1] * 21)
         self.assertEqual((self.ended(made), cache.disconnecting, status(wire)), (['expired'], True, 504))
 
+    def test_a_hop_that_nobody_waits_for_ends_even_where_none_may_be_cancelled(self):
+        made = node()
+        made.router.terms.may_cancel = False
+        wire, _ = sent(made)
+        lost(wire)
+        waiting = len(made.passages)
+        made.reactor.pump([0.1] * 21)
+        self.assertEqual((waiting, len(made.passages), made.caches.open), (1, 0, 0))
+
     def test_a_kept_connection_carries_the_next_hop(self):
         made = node()
         _, cache = sent(made)
