--- a/lilacdyke/net/tables.py
+++ b/lilacdyke/net/tables.py
@@ -78,15 +78,18 @@
         self.timer = self.later(max(0, self.due - self.clock()) / 10_000, self.fire)
 
     def fire(self):
-        """All that is due; a fault in one does not keep the others from their time."""
+        """All that is due; a fault in one does not keep the others from their time, and what they add for now
+        waits for the reactor's next turn."""
         now = self.clock()
         if now > self.due + LATE and not self.stalled:
             # Guards against calling late what lies unread: after a standstill sockets come first, for one turn.
             self.stalled, self.timer = True, self.later(0, self.fire)
             return
         self.timer, self.stalled = None, False
+        due = []
         while self.heap and self.heap[0][0] <= now:
-            call, number = heappop(self.heap)[2:]
+            due.append(heappop(self.heap)[2:])
+        for call, number in due:
             try:
                 call(number)
             except Exception:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -86,6 +86,13 @@
         timers[-1][1]()
         self.assertEqual((before, timers[-1][0], called), ([], 0, [2]))
 
+    def test_what_is_added_for_now_waits_a_turn(self):
+        called, timers = [], []
+        deadlines = Deadlines(lambda: 0, lambda wait, call: timers.append(call) or self)
+        deadlines.at(0, lambda number: deadlines.at(0, called.append, 2), 1)
+        timers[-1]()
+        self.assertEqual((called, len(timers)), ([], 2))
+
     def test_one_timer_moved_when_something_is_due_sooner(self):
         timers, cancelled = [], []
         timer = type('Timer', (), {'cancel': lambda self: cancelled.append(1)})()
@@ -337,6 +344,15 @@
         refused(made)
         self.assertEqual((cache.value().count(b'GET /read/k'), self.ended(made)), (2, ['committed']))
 
+    def test_a_connection_that_fails_ends_nobodys_wait_while_others_come(self):
+        made = node()
+        _, cache = sent(made)
+        asked(made)
+        asked(made)
+        cache.protocol.dataReceived(said())     # serves the first of the two
+        refused(made, -2)
+        self.assertEqual(self.ended(made), ['committed'])
+
     def test_nothing_leaves_for_a_server_that_began_to_drain_meanwhile(self):
         made = node()
         asked(made)
