Silent clients and half requests cannot keep others out when places run out

Found by thinking of slow clients, then probed on loopback: 700 connections with half a request held every place until 3 s after they came (head_due), and idle ones went one in 10 ms (Front.make_room). Now a sixteenth of the budget goes at a time, and half a request may hold a place for 0.5 s only once nobody is accepted.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -15,6 +15,7 @@
 
 LINGER = 10_000                         # for a client to read a last answer and close by itself
 RESTED = 1_000                          # an idle client may be closed to make room after this
+HALFWAY = 5_000                         # a client with half a request may, once nobody is accepted any more
 NEARLY = 2                              # descriptors before the last one: idle clients begin to make way
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
 
@@ -42,6 +43,10 @@
         if self.errand and len(self.reader.buffer) > HELD:
             self.transport.pauseProducing()
 
+    def halfway(self):
+        """Whether part of a request is here, and nothing is owed for it yet."""
+        return not self.errand and not self.ending and self.reader.begun
+
     def begin(self):
         """The first byte of a request is here; the whole must follow in time."""
         self.since = self.front.clock()
@@ -160,15 +165,20 @@
         self.see_to_room()
 
     def make_room(self, _=0):
-        """The longest idle client goes, if it has been idle for a while and no request of its lies unread."""
-        for client in self.resting.values():
-            if self.clock() < client.since + RESTED:
+        """The longest idle clients go, if they have been idle for a while and no request of theirs lies unread;
+        where nobody is accepted any more, so do those that hold a place with half a request."""
+        now, places = self.clock(), self.budget // 16 if self.full else 1
+        for client in list(self.resting.values()):
+            if not places or now < client.since + RESTED:
                 break
             if quiet(client.transport):
                 client.part()
-                break
+                places -= 1
         if self.full:
-            self.deadlines.at(self.clock() + RESTED // 10, self.make_room, 0)
+            for client in self.table:
+                if client.halfway() and now >= client.since + HALFWAY:
+                    client.refuse(408, 'the request did not come')
+            self.deadlines.at(now + RESTED // 10, self.make_room, 0)
 
     def see_to_room(self):
         """Accept while there is room."""
@@ -212,8 +222,7 @@
     def head_due(self, number_):
         """Guards against clients that send half a request and vanish."""
         client = self.table.get(number_)
-        if client and not client.errand and not client.ending and client.reader.begun \
-                and self.clock() >= client.since + self.slowest:
+        if client and client.halfway() and self.clock() >= client.since + self.slowest:
             client.refuse(408, 'the request did not come')
 
     def linger_due(self, number_):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -218,6 +218,19 @@
         client(self.made)
         self.assertEqual([wire.ended for wire in wires], [False, True])
 
+    def test_half_requests_do_not_keep_others_out(self):
+        wires = [asked(self.made, 'GET /re') for _ in range(4)]
+        self.made.reactor.pump([0.1] * 6)
+        self.assertEqual([status(wire) for wire in wires], [408] * 4)
+
+    def test_idle_clients_do_not_keep_others_out(self):
+        self.front.budget = 32                  # two make way at a time
+        wires = [client(self.made)[1] for _ in range(4)]
+        self.made.reactor.advance(0.2)
+        self.front.full = True
+        self.front.make_room()
+        self.assertEqual([wire.ended for wire in wires].count(True), 2)
+
     def test_one_that_has_just_come_does_not(self):
         wires = [client(self.made)[1] for _ in range(4)]
         self.assertFalse(any(wire.ended for wire in wires))
