--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -4,6 +4,9 @@
 transaction, end a connection that owes an answer, or let bad input raise out of it.
 """
 
+import socket
+from struct import error, unpack_from
+
 from twisted.internet.protocol import Factory, Protocol
 
 from . import http
@@ -13,6 +16,7 @@
 from .tables import Table
 from ..values import BadLine, down, number
 
+LAST_RECEIVED = 52                      # where tcp_info tells that, in bytes
 LINGER = 10_000                         # for a client to read a last answer and close by itself
 RESTED = 1_000                          # an idle client may be closed to make room after this
 HALFWAY = 5_000                         # a client with half a request may, once nobody is accepted any more
@@ -20,13 +24,23 @@
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
 
 
+def unread_for(transport):
+    """How long ago the system took the last bytes that came on a connection, as Linux tells it to the
+    millisecond. Guards against a node that stood still: the client's limit has run meanwhile."""
+    try:
+        told = transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED + 4)
+        return unpack_from('=I', told, LAST_RECEIVED)[0] * 10
+    except (OSError, AttributeError, error):
+        return 0
+
+
 class Client(Protocol):
     """One client's connection. It is idle, or it reads a request, or a request on it is being answered."""
 
     def __init__(self, front):
         self.front, self.reader = front, Reader(http.REQUEST)
         self.number = self.errand = None        # errand: what the node makes of the present request
-        self.since = 0                  # when the present request's first byte was read, or idleness began
+        self.since = 0                  # when the present request's first byte came, or idleness began
         self.lasting, self.ending = True, False
 
     def connectionMade(self):
@@ -48,8 +62,8 @@
         return not self.errand and not self.ending and self.reader.begun
 
     def begin(self):
-        """The first byte of a request is here; the whole must follow in time."""
-        self.since = self.front.clock()
+        """The first byte of a request is here: its time runs from when it came. The whole must follow in time."""
+        self.since = self.front.clock() - unread_for(self.transport)
         self.front.busy(self)
         self.front.deadlines.at(self.since + self.front.slowest, self.front.head_due, self.number)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -108,7 +108,7 @@
 class Wire(StringTransport):
     """A connection that holds what is written and may have something unread."""
 
-    unread, aborted, half_closed = None, False, False
+    unread, aborted, half_closed, age = None, False, False, 0
 
     def setTcpNoDelay(self, on):
         """Nothing to set here."""
@@ -116,6 +116,10 @@
     def getHandle(self):
         return self
 
+    def getsockopt(self, level, option, size):
+        """The system's word on when the last bytes came, age milliseconds ago."""
+        return bytes(52) + self.age.to_bytes(4, 'little')
+
     def recv(self, count, flags):
         if self.unread is None:
             raise BlockingIOError
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -143,9 +143,15 @@
         made = node()
         wire = asked(made, 'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Deadline: 99\r\n')
         made.reactor.advance(0.5)
-        since = made.clock() - 5_000
         wire.protocol.dataReceived(b'Req-Id: 1\r\n\r\n')
-        self.assertEqual(wire.protocol.errand.tx.limit, since + 20_000)
+        self.assertEqual(wire.protocol.errand.tx.limit, made.clock() + 15_000)
+
+    def test_what_lay_unread_has_used_up_its_time(self):
+        made = node()
+        protocol, wire = client(made)
+        wire.age = 120
+        protocol.dataReceived(b'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Deadline: 1\r\n\r\n')
+        self.assertEqual(protocol.errand.tx.limit, made.clock() + 8_800)
 
     def test_a_second_request_behind_the_first_waits_for_its_answer(self):
         made = node()
