--- a/lilacdyke/values.py
+++ b/lilacdyke/values.py
@@ -1,4 +1,7 @@
-"""The wire's values, strictly: a value out of form is an error, never a guess."""
+"""Values read and written strictly, for the bench's wire, settings, heads and lists alike.
+
+Owns the clock's unit and how seconds become it. A value out of form is an error, never a guess.
+"""
 
 import re
 
