--- a/lilacdyke/__main__.py
+++ b/lilacdyke/__main__.py
@@ -36,7 +36,8 @@
 
 @main.command()
 @config
-@click.option('--log-level', default='info', type=click.Choice(['debug', 'info', 'warning', 'error']))
+@click.option('--log-level', default='info', type=click.Choice(['info', 'warning', 'error']),
+              help='The least that is written.')
 def serve(config, log_level):
     """Run one node until SIGTERM has drained it."""
     from .net import logs, node
