--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -91,6 +91,11 @@
         self.assertIn(b'Req-Deadline: 0.2501\r\n', whole)
         self.assertTrue(whole.endswith(b'Content-Length: 5\r\n\r\nhello'))
 
+    def test_pieces_are_bytes_and_nothing_else(self):
+        got = one(b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 2\r\n\r\nab', ANSWER)
+        pieces = request(one(CHUNKED), 1) + relayed(got, True) + answer(404, True)
+        self.assertEqual({type(piece) for piece in pieces}, {bytes})
+
     def test_an_answer_is_framed_anew(self):
         got = one(b'HTTP/1.1 200 OK\r\nSrv-Cache: hit\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n', ANSWER)
         self.assertEqual(b''.join(relayed(got, False)), b'HTTP/1.1 200 OK\r\nSrv-Cache: hit\r\nContent-Length: 2\r\n'
