Pieces that stood twice stand once: finding values, list states, connecting

Read through, nothing changed in what the node does. Discovery's `wanted` was the decoder's `_find` again and calls it now (`find`): the same checks, but the reason logged for a missing value names the value and no longer shows the row. The states of list entries stood in the adapter and in discovery (values.py), the choice of endpoint in caches and discovery. That choice, `quiet` and `unread_for` are in sockets.py, so clients no longer import from caches.

--- a/lilacdyke/benchlink/serve.py
+++ b/lilacdyke/benchlink/serve.py
@@ -2,12 +2,11 @@
 
 from ..logic import Router, Server
 from .. import decode
-from ..values import BadLine, down, hexbytes, number, optional, report, seconds, truth, up, whole
+from ..values import STATES, BadLine, down, hexbytes, number, optional, report, seconds, truth, up, whole
 
 ENDINGS = {'delivered': 'committed', 'app_error': 'error', 'shed': 'refused', 'expired': 'expired',
            'dial_failed': 'unreachable', 'dropped': 'lost', 'revoked': 'cancelled', 'unused': 'unsent',
            'empty': 'missing'}
-STATES = {'SERVING': 'ready', 'DRAINING': 'draining', 'DELETED': 'gone'}
 LIST_MODES = ('update', 'replace', 'restored', 'unavailable')
 WRITE = 4
 
--- a/lilacdyke/decode.py
+++ b/lilacdyke/decode.py
@@ -13,7 +13,7 @@
 EFFECTS = {'free': IDEMPOTENT, 'guarded': JOURNALLED, 'single_shot': NON_IDEMPOTENT}
 
 
-def _find(tree, path, kind):
+def find(tree, path, kind):
     """The value at a dotted path, checked to be of a kind; a missing one is named."""
     value = tree
     for name in path.split('.'):
@@ -27,7 +27,7 @@
 
 def _choice(tree, path, known):
     """The value at a path, which must be one of the known words."""
-    word = _find(tree, path, str)
+    word = find(tree, path, str)
     if word not in known:
         raise BadLine('unknown: %s: %.200r' % (path, word))
     return word
@@ -36,15 +36,15 @@
 def _profile(row):
     effect = EFFECTS[_choice(row, 'effect', EFFECTS)]
     kept = effect == JOURNALLED
-    return Profile(_find(row, 'name', str), effect,
+    return Profile(find(row, 'name', str), effect,
                    _choice(row, 'group', ('all', 'zone', 'cell')) if kept else 'all',
-                   down(_find(row, 'repeatWindowS', (int, float))) if kept else 0,
-                   down(_find(row, 'serviceGoalS', (int, float))),
-                   _find(row, 'lateRevenue', (int, float)), down(_find(row, 'hardLimitS', (int, float))))
+                   down(find(row, 'repeatWindowS', (int, float))) if kept else 0,
+                   down(find(row, 'serviceGoalS', (int, float))),
+                   find(row, 'lateRevenue', (int, float)), down(find(row, 'hardLimitS', (int, float))))
 
 
 def _rows(tree, path, build):
-    rows = _find(tree, path, list)
+    rows = find(tree, path, list)
     return [build(row) for row in rows]
 
 
@@ -63,32 +63,32 @@
 def decode_tree(tree):
     """The same from settings that are parsed already."""
     real = (int, float)
-    may_return = _find(tree, 'limits.retryAfter', bool)
+    may_return = find(tree, 'limits.retryAfter', bool)
     terms = SiteTerms(
         profiles=_rows(tree, 'profiles', _profile),
-        tenants=_rows(tree, 'tenants', lambda row: Tenant(_find(row, 'name', str),
-                                                          _find(row, 'quotaPerS', real))),
-        nodes=_find(tree, 'balancers', int),
-        zone=_find(tree, 'zone', int),
-        aside=_find(tree, 'kindOfService', str) == 'cache'
+        tenants=_rows(tree, 'tenants', lambda row: Tenant(find(row, 'name', str),
+                                                          find(row, 'quotaPerS', real))),
+        nodes=find(tree, 'balancers', int),
+        zone=find(tree, 'zone', int),
+        aside=find(tree, 'kindOfService', str) == 'cache'
         and _choice(tree, 'familyInfo.mode', ('through', 'aside')) == 'aside',
         watched=_choice(tree, 'membershipMode', ('pushed', 'on_request')) == 'on_request',
-        may_copy=_find(tree, 'limits.mayDuplicate', bool),
-        may_cancel=_find(tree, 'limits.cancel', bool),
-        max_hops=_find(tree, 'limits.maxHops', int),
-        max_return=down(_find(tree, 'limits.maxRetryAfterS', real)) if may_return else 0,
-        ask_within=down(_find(tree, 'safety.askWithinS', real)),
-        fall_multiple=_find(tree, 'safety.fallMultiple', real),
-        fall_window=up(_find(tree, 'safety.overloadForS', real)),
-        cold_from=_find(tree, 'safety.coldFrom', real),
-        warm_up=up(_find(tree, 'safety.warmUpS', real)),
-        tick=up(_find(tree, 'tickS', real)),
-        open_price=_find(tree, 'fees.handshake', real),
-        keep_price=_find(tree, 'fees.connection', real))
+        may_copy=find(tree, 'limits.mayDuplicate', bool),
+        may_cancel=find(tree, 'limits.cancel', bool),
+        max_hops=find(tree, 'limits.maxHops', int),
+        max_return=down(find(tree, 'limits.maxRetryAfterS', real)) if may_return else 0,
+        ask_within=down(find(tree, 'safety.askWithinS', real)),
+        fall_multiple=find(tree, 'safety.fallMultiple', real),
+        fall_window=up(find(tree, 'safety.overloadForS', real)),
+        cold_from=find(tree, 'safety.coldFrom', real),
+        warm_up=up(find(tree, 'safety.warmUpS', real)),
+        tick=up(find(tree, 'tickS', real)),
+        open_price=find(tree, 'fees.handshake', real),
+        keep_price=find(tree, 'fees.connection', real))
     if not terms.profiles or min(profile.goal for profile in terms.profiles) <= 0 or terms.nodes < 1:
         raise BadLine('settings: no profile, a goal of nothing, or no node')
-    origin_kind = _find(tree, 'familyInfo.originKind', int) if terms.aside else -1
-    return terms, _find(tree, 'rank', int), origin_kind
+    origin_kind = find(tree, 'familyInfo.originKind', int) if terms.aside else -1
+    return terms, find(tree, 'rank', int), origin_kind
 
 
 class Place:
@@ -104,25 +104,26 @@
 
 def address(text):
     """A literal address and a port; names are not looked up."""
-    host, colon, port = text.rpartition(':')
+    host, _, port = text.rpartition(':')
+    host = host.strip('[]')
     try:
-        ip_address(host.strip('[]'))
+        ip_address(host)
         number = int(port) if port.isascii() and port.isdigit() else 0
     except ValueError:
         raise BadLine('no literal address: %r' % text) from None
     if not 0 < number < 65_536:
         raise BadLine('no port: %r' % text)
-    return host.strip('[]'), number
+    return host, number
 
 
 def place(text):
     """A node's page: all it is told at its start."""
     tree = _tree(text, 'the config is')
-    terms, rank, origin = decode_tree(_find(tree, 'settings', dict))
-    within = down(_find(tree, 'settings.limits.connectTimeoutS', (int, float)))
+    terms, rank, origin = decode_tree(find(tree, 'settings', dict))
+    within = down(find(tree, 'settings.limits.connectTimeoutS', (int, float)))
     terms.tick += within                # a repeat may wait so long for its connection before it leaves
-    kinds = _find(tree, 'settings.kinds', list)
-    seed = _find(tree, 'seed', str)
+    kinds = find(tree, 'settings.kinds', list)
+    seed = find(tree, 'seed', str)
     try:
         seed = int(seed, 16)
     except ValueError:
@@ -130,9 +131,9 @@
     if origin >= len(kinds):
         raise BadLine('settings: familyInfo.originKind is no kind: %d' % origin)
     return Place(
-        name=_find(tree, 'name', str), listen=address(_find(tree, 'listen', str)),
-        discovery=address(_find(tree, 'discovery', str)), seed=seed,
-        sockets=_find(tree, 'limits.sockets', int), known=_find(tree, 'known', dict),
+        name=find(tree, 'name', str), listen=address(find(tree, 'listen', str)),
+        discovery=address(find(tree, 'discovery', str)), seed=seed,
+        sockets=find(tree, 'limits.sockets', int), known=find(tree, 'known', dict),
         terms=terms, rank=rank, origin_kind=kinds[origin] if origin >= 0 else None,
-        idle=down(_find(tree, 'settings.limits.connIdleS', (int, float))),
+        idle=down(find(tree, 'settings.limits.connIdleS', (int, float))),
         connect_within=within)
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -5,15 +5,14 @@
 or pass on an answer that is not whole.
 """
 
-import socket
 from collections import deque
 from errno import EMFILE, ENFILE
 
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
 
 from .http import ANSWER, BadMessage, Reader, request
+from .sockets import connect, quiet
 from .tables import Table
 
 KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
@@ -32,18 +31,6 @@
     return 'error'
 
 
-def quiet(transport):
-    """Whether nothing lies unread on a connection, not even its end. Guards against a hop sent on one that
-    has ended, and against closing on a request that has come."""
-    try:
-        transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 class Trip:
     """One hop under way: the client's request, until when it is waited for, and where it is."""
 
@@ -181,8 +168,7 @@
         link = Link(self)
         link.number = caches.table.add(link)
         caches.open += 1
-        kind = TCP6ClientEndpoint if ':' in self.address[0] else TCP4ClientEndpoint
-        opening = connectProtocol(kind(caches.reactor, *self.address, timeout=None), link)
+        opening = connect(caches.reactor, self.address, link)
         number = caches.dialling.add(opening)
         caches.deadlines.at(caches.clock() + caches.within, caches.dial_due, number)
         opening.addCallbacks(self.dialled, self.failed, (number,), None, (number, link))
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -6,20 +6,19 @@
 
 import json
 
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
 
 from .http import ANSWER, BadMessage, Chunks, Reader
 from .logs import LOG, warn
+from .sockets import connect
 from .tables import Table
-from ..decode import address
-from ..values import BadLine, up
+from ..decode import address, find
+from ..values import STATES, BadLine, up
 
 SILENCE = 30_000                        # a watch has a line every 2 s; after this it is dead
 ANSWERED = 10_000                       # for its head: discovery is on this machine and answers at once
 FIRST, MOST = 1_000, 15_000             # waits before the next try: the first, doubling, and the longest
 MAX_LIST = 4 << 20                      # one line of the watch, in bytes
-STATES = {'SERVING': 'ready', 'DRAINING': 'draining', 'DELETED': 'gone'}
 
 
 class Entry:
@@ -28,30 +27,22 @@
     __slots__ = ('name', 'address', 'zone', 'kind', 'cell', 'state', 'weight', 'started')
 
     def __init__(self, row):
-        self.name = wanted(row, 'instanceId', str)
-        self.address = address(wanted(row, 'hostPort', str))
-        self.zone = wanted(row, 'zone', str)
-        self.kind = wanted(row, 'machineType', str)
-        self.cell = wanted(row, 'cell', int)
-        self.state = STATES.get(wanted(row, 'lifecycle', str))
-        self.weight = wanted(row, 'weight', (int, float))
-        self.started = wanted(row, 'startedAtMs', (int, float))
+        self.name = find(row, 'instanceId', str)
+        self.address = address(find(row, 'hostPort', str))
+        self.zone = find(row, 'zone', str)
+        self.kind = find(row, 'machineType', str)
+        self.cell = find(row, 'cell', int)
+        self.state = STATES.get(find(row, 'lifecycle', str))
+        self.weight = find(row, 'weight', (int, float))
+        self.started = find(row, 'startedAtMs', (int, float))
         if self.state is None or not self.name or not 0 <= self.weight < 1e9 or not 0 <= self.started < 1e15:
             raise BadLine('entry out of form: %r' % row)
 
 
-def wanted(row, name, kind):
-    """A value of an object, of the kind it must have."""
-    value = row.get(name) if isinstance(row, dict) else None
-    if isinstance(value, bool) is not (kind is bool) or not isinstance(value, kind):
-        raise BadLine('%s missing or out of form: %.200r' % (name, row))
-    return value
-
-
 def read_list(tree):
     """A list or changes to one: (version, whether it is whole, entries)."""
-    rows = wanted(tree, 'instances', list)
-    return wanted(tree, 'generation', int), wanted(tree, 'reset', bool), [Entry(row) for row in rows]
+    rows = find(tree, 'instances', list)
+    return find(tree, 'generation', int), find(tree, 'reset', bool), [Entry(row) for row in rows]
 
 
 class Watch(Protocol):
@@ -135,8 +126,7 @@
             return
         self.watch, self.heard = Watch(self), self.clock()
         self.watch.number = self.table.add(self.watch)
-        kind = TCP6ClientEndpoint if ':' in self.where[0] else TCP4ClientEndpoint
-        self.opening = connectProtocol(kind(self.reactor, *self.where, timeout=None), self.watch)
+        self.opening = connect(self.reactor, self.where, self.watch)
         watch = self.watch
         self.opening.addErrback(lambda failure: self.lost(watch, 'no connection'))
         self.deadlines.at(self.heard + ANSWERED, self.silent, watch.number)
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -4,19 +4,15 @@
 transaction, end a connection that owes an answer, or let bad input raise out of it.
 """
 
-import socket
-from struct import error, unpack_from
-
 from twisted.internet.protocol import Factory, Protocol
 
 from . import http
-from .caches import quiet
 from .http import BadMessage, Reader
 from .logs import LOG
+from .sockets import quiet, unread_for
 from .tables import Table
 from ..values import BadLine, down, number
 
-LAST_RECEIVED = 52                      # where tcp_info tells that, in bytes
 LINGER = 10_000                         # for a client to read a last answer and close by itself
 RESTED = 1_000                          # an idle client may be closed to make room after this
 HALFWAY = 5_000                         # a client with half a request may, once nobody is accepted any more
@@ -24,16 +20,6 @@
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
 
 
-def unread_for(transport):
-    """How long ago the system took the last bytes that came on a connection, as Linux tells it to the
-    millisecond. Guards against a node that stood still: the client's limit has run meanwhile."""
-    try:
-        told = transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED + 4)
-        return unpack_from('=I', told, LAST_RECEIVED)[0] * 10
-    except (OSError, AttributeError, error):
-        return 0
-
-
 class Client(Protocol):
     """One client's connection. It is idle, or it reads a request, or a request on it is being answered."""
 
--- a/lilacdyke/net/tables.py
+++ b/lilacdyke/net/tables.py
@@ -5,9 +5,10 @@
 what a slot holds or what a deadline is for.
 """
 
-import logging
 from heapq import heappop, heappush
 
+from .logs import LOG
+
 LATE = 100                              # a timer this late says that the machine stood still
 INDEX = 20                              # bits of a number that tell the slot; the rest tells its age
 
@@ -93,5 +94,5 @@
             try:
                 call(number)
             except Exception:
-                logging.getLogger(__name__).exception('deadline failed')
+                LOG.exception('deadline failed')
         self.arm()
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,15 +8,9 @@
 from lilacdyke.benchlink.serve import Link
 from lilacdyke.values import BadLine, down, number, seconds, up
 
-SITE = {
-    'balancers': 2, 'rank': 0, 'zone': 0, 'tickS': 0.005, 'kindOfService': 'cache', 'membershipMode': 'pushed',
-    'profiles': [{'name': 'r', 'effect': 'free', 'group': 'all', 'repeatWindowS': 1, 'serviceGoalS': 0.5, 'hardLimitS': 3.0,
-                  'lateRevenue': 0.0}],
-    'fees': {'handshake': 0.0, 'connection': 0.0}, 'tenants': [],
-    'familyInfo': {'mode': 'through', 'originKind': -1},
-    'limits': {'retryAfter': True, 'mayDuplicate': True, 'cancel': True, 'maxHops': 5, 'maxRetryAfterS': 1.0},
-    'safety': {'stopSendingWithinS': 0.4, 'askWithinS': 10.0, 'fallMultiple': 4.0, 'overloadForS': 1.5,
-               'coldFrom': 0.13, 'warmUpS': 24.0}}
+from .helpers import SETTINGS
+
+SITE = dict(SETTINGS, familyInfo={'mode': 'through', 'originKind': -1})
 START = ['TURN\t1.0', 'ENLIST\t3\t7\t' + json.dumps(SITE), 'POOL\t0\t1', 'ROW\t0\t0\t1\tserver_a\t-\tSERVING\t0',
          'ROSTER_CHANGE\t3\trestored\t1\t0', 'EOF_BATCH']
 ASK = 'ASK\t3\t9\t0\t0\tpage:k\t3.0\t-\t-\t0'
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -375,7 +375,7 @@
     def test_nothing_leaves_for_a_server_that_began_to_drain_meanwhile(self):
         made = node()
         asked(made)
-        next(server for server in made.servers.values() if server.name == 'c0').state = 'draining'
+        made.servers['c0'].state = 'draining'
         cache = dialled(made)
         self.assertEqual((cache.value(), cache.disconnecting), (b'', True))
 
@@ -524,7 +524,7 @@
         made = node()
         _, cache = sent(made)
         cache.protocol.dataReceived(said())
-        made.do_close(next(s for s in made.servers.values() if s.name == 'c0'))
+        made.do_close(made.servers['c0'])
         self.assertTrue(cache.disconnecting)
 
     def test_the_module_asks_for_the_watch_where_the_site_wants_that(self):
