Ends of hops and counts of connections simpler: no detour, nothing kept twice

Read through, nothing changed in what the node does. A hop that is cut ends by its Trip's own callback, not by cancelling the Deferred and telling that apart from a fault that could not come (Node.arrived, Passage.cut). How many connections are open is the table's length, no second count, and one method forgets a connection. One method for the idle deadline, one for half requests that have been here too long; Message.start, used once, is a local.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -39,14 +39,17 @@
     def __init__(self, pool, message, until):
         self.pool, self.message, self.until = pool, message, until
         self.link = None                # the connection, once there is one
-        self.done = Deferred(self.withdraw)     # fires once, with (ending, answer or None)
+        self.done = Deferred()          # fires once, with (ending, answer or None)
 
-    def withdraw(self, _):
-        """It is not waited for any more: its connection ends, which tells the server so."""
+    def cut(self, how):
+        """It is not waited for any more, unless it has ended: its connection ends, which tells the server so."""
+        if self.done.called:
+            return
         if self.link:
             self.link.give_up()
         else:
             self.pool.waiting.remove(self)
+        self.over(how)
 
     def over(self, how, answer=None):
         """The one ending."""
@@ -121,7 +124,6 @@
         """End the connection at once; what was not sent is not. Its place counts as free from here on, as
         another hop may wait for that: the descriptor itself goes within a turn of the reactor."""
         self.pool.forget(self)
-        self.pool.caches.ended(self)
         if self.left is False:
             self.transport.abortConnection()
         else:
@@ -129,7 +131,6 @@
 
     def connectionLost(self, reason=None):
         self.pool.forget(self)
-        self.pool.caches.ended(self)
         if self.trip:
             # Only a last byte that never left proves that the hop never ran.
             self.finish('lost' if self.left else 'unreachable')
@@ -167,7 +168,6 @@
         caches = self.caches
         link = Link(self)
         link.number = caches.table.add(link)
-        caches.open += 1
         opening = connect(caches.reactor, self.address, link)
         number = caches.dialling.add(opening)
         caches.deadlines.at(caches.clock() + caches.within, caches.dial_due, number)
@@ -184,7 +184,7 @@
         """No connection: a hop has none to wait for, unless it was served meanwhile."""
         self.dials -= 1
         self.caches.dialling.remove(number)
-        self.caches.ended(link)
+        self.forget(link)
         if len(self.waiting) > self.dials:
             none_left = getattr(failure.value, 'osError', None) in (EMFILE, ENFILE)
             self.waiting.popleft().over('unsent' if none_left else 'unreachable')
@@ -209,9 +209,10 @@
         self.caches.resting.pop(link.number)
 
     def forget(self, link):
-        """A connection ends; idle or not, nothing more is sent on it."""
+        """A connection ends or never came up: nothing more is sent on it, and its place is free."""
         if link.number in self.caches.resting:
             self.wake(link)
+        self.caches.table.remove(link.number)
 
     def close_idle(self):
         """End the connections that carry nothing."""
@@ -225,11 +226,16 @@
     def __init__(self, reactor, deadlines, clock, place, budget, broken, fault):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
-        self.budget, self.open = budget, 0
+        self.budget = budget
         self.broken, self.fault = broken, fault     # told of answers out of form, and of faults in here
         self.pools, self.table, self.dialling = {}, Table(), Table()
         self.resting = {}               # idle connections by number, the longest idle first
 
+    @property
+    def open(self):
+        """How many connections there are, those being opened among them."""
+        return len(self.table)
+
     def listed(self, server, address):
         """A list names a server and where it is."""
         pool = self.pools.get(server)
@@ -261,6 +267,10 @@
         """Note an idle connection and until when it is kept: well before the server ends it."""
         self.resting[link.number] = link
         link.idle_until = self.clock() + self.keep
+        self.time(link)
+
+    def time(self, link):
+        """Hang up its deadline; one a connection, however often it is used meanwhile."""
         if not link.timed:
             link.timed = True
             self.deadlines.at(link.idle_until, self.idle_due, link.number)
@@ -271,22 +281,14 @@
         if link is None:
             return
         link.timed = False
-        if number not in self.resting:
-            return
-        if self.clock() >= link.idle_until:
-            link.close()
-        else:
-            link.timed = True
-            self.deadlines.at(link.idle_until, self.idle_due, number)
+        if number in self.resting:
+            if self.clock() >= link.idle_until:
+                link.close()
+            else:
+                self.time(link)
 
     def dial_due(self, number):
         """Guards against a server that vanished: its connections never come up."""
         opening = self.dialling.get(number)
         if opening is not None:
             opening.cancel()
-
-    def ended(self, link):
-        """A connection's descriptor is free again."""
-        if self.table.get(link.number) is link:
-            self.table.remove(link.number)
-            self.open -= 1
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -43,9 +43,11 @@
         if self.errand and len(self.reader.buffer) > HELD:
             self.transport.pauseProducing()
 
-    def halfway(self):
-        """Whether part of a request is here, and nothing is owed for it yet."""
-        return not self.errand and not self.ending and self.reader.begun
+    def hurry(self, allowed):
+        """Part of a request has been here for longer than is allowed, with nothing owed for it yet: no more."""
+        if not self.errand and not self.ending and self.reader.begun \
+                and self.front.clock() >= self.since + allowed:
+            self.refuse(408, 'the request did not come')
 
     def begin(self):
         """The first byte of a request is here: its time runs from when it came. The whole must follow in time."""
@@ -176,8 +178,7 @@
                 places -= 1
         if self.full:
             for client in self.table:
-                if client.halfway() and now >= client.since + HALFWAY:
-                    client.refuse(408, 'the request did not come')
+                client.hurry(HALFWAY)
             self.deadlines.at(now + RESTED // 10, self.make_room, 0)
 
     def see_to_room(self):
@@ -222,8 +223,8 @@
     def head_due(self, number_):
         """Guards against clients that send half a request and vanish."""
         client = self.table.get(number_)
-        if client and client.halfway() and self.clock() >= client.since + self.slowest:
-            client.refuse(408, 'the request did not come')
+        if client:
+            client.hurry(self.slowest)
 
     def linger_due(self, number_):
         """Guards against clients that never close."""
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -34,12 +34,12 @@
 class Message:
     """One request or answer: the first line's parts, the header lines as spans of the head, the body."""
 
-    __slots__ = ('head', 'begun', 'start', 'parts', 'lines', 'fields', 'body')
+    __slots__ = ('head', 'begun', 'parts', 'lines', 'fields', 'body')
 
     def __init__(self, head, first):
         self.head = head
         self.parts = first.groups()
-        self.begun, self.start = first.end(2), first.end()      # ends of the second part and of the line
+        self.begun = first.end(2)       # where the second part ends
         self.lines, self.fields = [], {}
         self.body = b''
 
@@ -77,7 +77,7 @@
     if not begun:
         raise BadMessage(400, 'first line out of form')
     message = Message(bytes(memoryview(buffer)[:end]), begun)
-    at = message.start
+    at = begun.end()
     while at < end - 2:
         line = FIELD.match(buffer, at, end)
         if not line:
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -8,6 +8,7 @@
 
 import resource
 import signal
+from collections import Counter
 from random import Random
 from time import monotonic, time
 
@@ -29,23 +30,22 @@
 class Errand:
     """A transaction that the node has taken, and the client it owes an answer."""
 
-    __slots__ = ('number', 'client', 'message', 'tx', 'trips')
+    __slots__ = ('number', 'client', 'message', 'tx', 'passages')
 
     def __init__(self, client, message):
         self.client, self.message = client, message
         self.number = self.tx = None
-        self.trips = []                 # hops under way
+        self.passages = []              # hops under way
 
 
 class Passage:
     """A hop under way for an errand."""
 
-    __slots__ = ('number', 'errand', 'hop', 'trip', 'cut')
+    __slots__ = ('number', 'errand', 'hop', 'trip')
 
     def __init__(self, errand, hop):
         self.errand, self.hop = errand, hop
         self.number = self.trip = None
-        self.cut = None                 # why it is not waited for
 
 
 class Node:
@@ -66,7 +66,7 @@
         self.caches = Caches(reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault)
         self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self)
         self.pulling = False
-        self.counts = {}
+        self.counts = Counter()
 
     def clock(self):
         """The module's time."""
@@ -103,7 +103,7 @@
         """Whether clients are asked to close."""
         return self.phase != SERVING
 
-    def drain(self, signum=signal.SIGTERM, _=None):
+    def drain(self, signum=signal.SIGTERM):
         """SIGTERM: answer all that is taken and all that still comes, then exit."""
         if self.phase == SERVING:
             self.phase = DRAINING
@@ -159,8 +159,8 @@
         errand = self.errands.get(number)
         if errand is None:
             return
-        for passage in errand.trips[:]:
-            self.cut(passage, 'expired')
+        for passage in errand.passages[:]:
+            passage.trip.cut('expired')
         self.settle()
         if self.errands.get(number) is errand:
             LOG.error('limit passed without a decision')
@@ -169,28 +169,20 @@
 
     # --- hops -------------------------------------------------------------------------------------------
 
-    def cut(self, passage, how):
-        """End a hop from here."""
-        passage.cut = how
-        passage.trip.done.cancel()
-
     def patience_due(self, number):
         """A hop's own limit. Guards also against one that nobody waits for at a site where hops may not be
         cancelled: with the server gone silent it would be out for ever."""
         passage = self.passages.get(number)
         if passage:
-            self.cut(passage, 'expired')
+            passage.trip.cut('expired')
             self.settle()
 
     def arrived(self, ending, number):
         """A hop has ended: by what came of it, or cut."""
-        passage = self.passages.get(number)
-        how, answer = ending if isinstance(ending, tuple) else (passage.cut, None)
-        if not isinstance(ending, tuple) and how is None:
-            return ending               # no cut but a fault: let it be logged
+        passage, (how, answer) = self.passages.get(number), ending
         self.passages.remove(number)
         errand, hop = passage.errand, passage.hop
-        errand.trips.remove(passage)
+        errand.passages.remove(passage)
         now = self.clock()
         open_ = self.errands.get(errand.number) is errand
         if how == 'committed' and open_:
@@ -201,7 +193,6 @@
         self.count('hops_' + how)
         self.router.hop_ended(now, hop, how, now - hop.sent, how == 'committed' or hop.tx.done, note)
         self.settle()
-        return None
 
     def broken(self, server, err):
         """A server's answer out of form."""
@@ -271,16 +262,16 @@
         until = hop.tx.limit if patience is None else min(hop.tx.limit, now + patience)
         passage = Passage(errand, hop)
         passage.number = self.passages.add(passage)
-        errand.trips.append(passage)
+        errand.passages.append(passage)
         passage.trip = self.caches.send(hop.server, errand.message, until)
-        passage.trip.done.addBoth(self.arrived, passage.number).addErrback(self.fault)
+        passage.trip.done.addCallback(self.arrived, passage.number).addErrback(self.fault)
         self.deadlines.at(until, self.patience_due, passage.number)
 
     def do_cancel(self, hop):
         """A hop is not waited for any more."""
-        for passage in hop.tx.ref.trips:
+        for passage in hop.tx.ref.passages:
             if passage.hop is hop:
-                self.cut(passage, 'cancelled')
+                passage.trip.cut('cancelled')
                 return
 
     def do_roll_back(self, tx, after):
@@ -318,7 +309,7 @@
 
     def count(self, what):
         """One more of these."""
-        self.counts[what] = self.counts.get(what, 0) + 1
+        self.counts[what] += 1
 
     def figures(self, _):
         """A line of counts since the start."""
