SIGHUP rereads the page and moves the watch; it ended the node

Checked: serve() installed handlers for SIGTERM and SIGINT only. Lines at fault: node.serve (no handler), discovery (address fixed for life, retries not tied to a watch). A page nested without end also ended the start with a trace instead of one line (decode._tree).

--- a/lilacdyke/__main__.py
+++ b/lilacdyke/__main__.py
@@ -8,7 +8,7 @@
 import click
 
 from . import __version__
-from .decode import place
+from .decode import page
 from .values import BadLine
 
 
@@ -18,9 +18,8 @@
         click.echo('lilacdyke: no config: give --config or EDGE_CONFIG', err=True)
         sys.exit(2)
     try:
-        with open(path, encoding='utf-8') as file:
-            return place(file.read())
-    except (OSError, UnicodeDecodeError, BadLine) as err:
+        return page(path)
+    except BadLine as err:
         click.echo('lilacdyke: %s: %s' % (path, err), err=True)
         sys.exit(2)
 
@@ -42,7 +41,7 @@
     """Run one node until SIGTERM has drained it."""
     from .net import logs, node
     logs.begin(log_level)
-    sys.exit(node.serve(read(config)))
+    sys.exit(node.serve(read(config), config))
 
 
 @main.command()
--- a/lilacdyke/decode.py
+++ b/lilacdyke/decode.py
@@ -51,7 +51,7 @@
 def _tree(text, what):
     try:
         return json.loads(text)
-    except ValueError as err:
+    except (ValueError, RecursionError) as err:
         raise BadLine('%s not JSON: %s' % (what, err)) from None
 
 
@@ -137,3 +137,12 @@
         terms=terms, rank=rank, origin_kind=kinds[origin] if origin >= 0 else None,
         idle=down(find(tree, 'settings.limits.connIdleS', (int, float))),
         connect_within=within)
+
+
+def page(path):
+    """The node's page at this path; whatever keeps it from being read is a BadLine."""
+    try:
+        with open(path, encoding='utf-8') as file:
+            return place(file.read())
+    except (OSError, UnicodeDecodeError) as err:
+        raise BadLine(err) from None
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -103,27 +103,48 @@
     def __init__(self, reactor, deadlines, clock, place, chance, node):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.where, self.chance, self.table = place.discovery, chance, Table()
-        self.host = '%s:%d' % place.discovery
         self.node = node
         self.pushed = not place.terms.watched   # else the module says when to ask
         self.version, self.failures = None, 0
         self.watch, self.opening, self.heard = None, None, 0
+        self.turn = 0                   # one more with each watch: a retry that another overtook is void
 
     def close(self):
-        """The node ends."""
+        """End the watch, if there is one: whatever still comes of it finds that it is not the present one."""
         watch, self.watch = self.watch, None
-        if watch and watch.transport:
+        if watch is None:
+            return
+        self.table.remove(watch.number)
+        if watch.transport:
             watch.transport.abortConnection()
+        else:
+            self.opening.cancel()
+
+    def move(self, where):
+        """Discovery is elsewhere: watch there at once, from the version that is held. Whether it was news."""
+        if where == self.where:
+            return False
+        self.close()
+        self.where, self.failures = where, 0
+        self.open()
+        return True
 
     def request(self):
         """The head that asks for all that came after what the node holds."""
         index = '' if self.version is None else '&index=%d' % self.version
-        return ('GET /v1/endpoints?stream=1%s HTTP/1.1\r\nHost: %s\r\n\r\n' % (index, self.host)).encode()
+        return ('GET /v1/endpoints?stream=1%s HTTP/1.1\r\nHost: %s\r\n\r\n' % (
+            index, '%s:%d' % self.where)).encode()
+
+    def retry(self, turn):
+        """The wait after a watch is over."""
+        if turn == self.turn:
+            self.open()
 
-    def open(self, _=None):
+    def open(self):
         """Start a watch unless there is one."""
         if self.watch:
             return
+        self.turn += 1
         self.watch, self.heard = Watch(self), self.clock()
         self.watch.number = self.table.add(self.watch)
         self.opening = connect(self.reactor, self.where, self.watch)
@@ -151,18 +172,13 @@
         """The watch has ended; try again, ever later, with the list kept."""
         if self.watch is not watch:
             return
-        self.watch, opening = None, self.opening
-        self.table.remove(watch.number)
-        if watch.transport:
-            watch.transport.abortConnection()
-        else:
-            opening.cancel()
+        self.close()
         self.failures += 1
         warn('watch lost', why=why, failures=self.failures, version=self.version)
         self.node.list_lost()
         if self.pushed:
             wait = min(MOST, FIRST << min(self.failures - 1, 8))
-            self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.open, 0)
+            self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.retry, self.turn)
 
 
 def started(entry, offset):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -18,6 +18,7 @@
 from .front import Front
 from .logs import LOG, say, warn
 from .tables import Deadlines, Table
+from ..decode import page
 from ..logic import Router, Server
 from ..values import SECOND, BadLine, seconds
 
@@ -110,6 +111,18 @@
             say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table))
             self.deadlines.at(self.clock() + COMING, self.leave, self.clock())
 
+    def reread(self, path):
+        """SIGHUP: the page may name another address of discovery. All else in it is for the next start; a page
+        that cannot be read changes nothing."""
+        if self.phase not in (SERVING, DRAINING):
+            return
+        try:
+            where = page(path).discovery
+        except BadLine as err:
+            warn('page not read', reason=err)
+            return
+        say('page read', discovery='%s:%d' % where, moved=self.discovery.move(where))
+
     def leave(self, since):
         """Clients have stopped coming: ask those that are idle to go, and exit once nothing is owed."""
         now = self.clock()
@@ -318,8 +331,8 @@
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
 
 
-def serve(place):
-    """Run a node until it has drained."""
+def serve(place, path):
+    """Run a node, whose page is at this path, until it has drained."""
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
     from twisted.logger import STDLibLogObserver, globalLogBeginner
@@ -327,6 +340,7 @@
     node = Node(place, reactor)
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, lambda n, _: reactor.callFromThread(node.drain, n))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reread, path))
     try:
         node.start()
     except CannotListenError as err:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import tempfile
 import unittest
 from errno import EMFILE
 
@@ -16,7 +17,7 @@
 from lilacdyke.net.tables import Deadlines, Table
 from lilacdyke.values import BadLine
 
-from .helpers import asked, client, dialled, entry, lost, node, refused, said, sent
+from .helpers import asked, client, dialled, entry, lost, node, page, refused, said, sent
 
 PUT = 'PUT /%s/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\nhi'
 
@@ -447,6 +448,42 @@
         self.assertTrue(waits[0] < waits[2] < waits[4] <= 15_100 and max(waits) <= 15_100)
         self.assertIn(b'index=4 ', dialled(made).value())
 
+    def test_a_watch_moves_at_once_and_nothing_of_the_old_one_touches_the_new(self):
+        made = node()
+        old = watched(made)
+        moved = made.discovery.move(('127.0.0.1', 8501))
+        old.protocol.dataReceived(chunk({'generation': 9, 'reset': True, 'instances': []}))
+        lost(old)
+        made.reactor.advance(0.9)
+        self.assertEqual((moved, old.aborted, made.reactor.tcpClients[-1][1], len(made.reactor.tcpClients)),
+                         (True, True, 8501, 2))
+        self.assertEqual((made.discovery.version, made.discovery.failures, len(made.router.caches)), (4, 0, 1))
+        self.assertIn(b'index=4 ', dialled(made).value())
+
+    def test_a_move_does_not_inherit_the_old_waits(self):
+        made = node()
+        for _ in range(6):
+            refused(made)
+            made.reactor.advance(1.6)
+        refused(made)
+        made.discovery.move(('127.0.0.1', 8501))
+        refused(made)
+        tries = len(made.reactor.tcpClients)
+        made.reactor.advance(0.11)
+        self.assertEqual(len(made.reactor.tcpClients), tries + 1)
+
+    def test_the_page_is_read_again_and_a_bad_one_changes_nothing(self):
+        made = node()
+        for text, port in ((page(discovery='127.0.0.1:8501'), 8501), ('{', 8501), ('[' * 100_000, 8501),
+                           (page(discovery='127.0.0.1:8501', listen='x'), 8501), (page(), 8500), (page(), 8500)):
+            with self.subTest(text=text[:80]), tempfile.NamedTemporaryFile('w') as file:
+                file.write(text)
+                file.flush()
+                made.reread(file.name)
+                self.assertEqual((made.discovery.where[1], made.discovery.watch is None), (port, False))
+        made.reread('/nowhere')
+        self.assertEqual(len(made.reactor.tcpClients), 3)
+
     def test_unix_time_becomes_the_modules(self):
         made = node()
         self.assertEqual(started(Entry(entry('c', startedAtMs=-made.offset / 10)), made.offset), 0)
