A spoilt answer tells nothing of how busy its server is

Checked by a probe (bounds, endings and reasons each second): each spoilt answer, told as 'lost', cut what its server is held to bear to 1 to 4 hops and counted as strain, which dries up the budget of copies; homes had no room then. Ruled out: set-aside servers (four in a row do not come), CPU (0.32 of 0.85 cores). Lines at fault: Link.dataReceived (told 'lost'), Router.weigh and hop_ended. A spoilt answer is an ending of its own now: it may have run, its server lives. rouse and turned_away, each one line, made room.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -23,6 +23,7 @@
 from .terms import IDEMPOTENT, JOURNALLED
 
 NEVER_RAN = ('refused', 'unreachable', 'unsent', 'missing')   # endings that prove a hop never ran
+BLAMELESS = ('unsent', 'cancelled', 'spoilt')   # endings that tell nothing of how busy a server is
 FLOOR = 1 / 32          # a set-aside server's trickle, as a share of what would be its own
 DOUBT = 4               # unanswered hops in a row that set a server aside
 RACES, LOOKUPS = 16, 32  # the paper's windows
@@ -206,7 +207,7 @@
         self.unit = max(1, self.goal // 32)
         self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
         self.caches, self.origin, self.known = [], None, {}
-        self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0
+        self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0   # ready: looked at next
         self.logs, self.idle = deque(), deque()     # idle: servers whose connections may not be worth keeping
         self.last, self.every = 0, 0                # when the last transaction came, and how often they do
         self.copies_left = 1.0
@@ -278,7 +279,7 @@
         tx.excess = bool(self.tenancies) and self.tenancies[tenant].over(now)
         if not write:
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
-        self.rouse(tx)
+        self.ready.append(tx)
         self.alarm(limit, tx)
         return tx
 
@@ -310,6 +311,8 @@
         hop.ran = how not in NEVER_RAN
         if how in ('committed', 'missing', 'error'):
             self.answered(now, hop, lasted, how, note)
+        elif how == 'spoilt':
+            server.doubt = 0        # it answers, whatever came of that on the way
         elif (how in ('unreachable', 'lost') or how == 'expired' and now >= tx.limit
               or how == 'cancelled' and hop.dropped):
             self.unanswered(now, server)
@@ -325,7 +328,7 @@
         if final:
             self.finish(now, tx)
         else:
-            self.rouse(tx)
+            self.ready.append(tx)
 
     def answered(self, now, hop, lasted, how, note):
         """The server lives: its trickle doubles once a round trip, and its answer times the copies."""
@@ -353,7 +356,7 @@
         answered = how in ('committed', 'missing')
         well = answered and lasted < hop.tx.profile.goal // 2
         self.smooth += well
-        self.poor += not well and how not in ('unsent', 'cancelled')
+        self.poor += not well and how not in BLAMELESS
         if self.smooth + self.poor > Histogram.KEPT:
             self.smooth, self.poor = self.smooth / 2, self.poor / 2
         if answered and lasted < most:
@@ -433,7 +436,7 @@
         tx.done = True
         if self.fetching.get(tx.key) is tx:
             self.release(tx.key)
-        self.rouse(tx)
+        self.ready.append(tx)
 
     # --- the origin's fetches ---------------------------------------------------------------------------
 
@@ -448,7 +451,7 @@
             waiting = self.queue.popleft()
             if waiting.queued and not waiting.done:
                 waiting.queued = waiting.held = False
-                self.rouse(waiting)
+                self.ready.append(waiting)
                 break
 
     def release(self, key):
@@ -457,7 +460,7 @@
         for tx in self.followers.pop(key, ()):
             if not tx.done:
                 tx.held, tx.again = False, tx.missed
-                self.rouse(tx)
+                self.ready.append(tx)
 
     def woken(self, now):
         """A wake-up that was asked for."""
@@ -466,10 +469,6 @@
 
     # --- deciding ---------------------------------------------------------------------------------------
 
-    def rouse(self, tx):
-        """Look at it at the next pull."""
-        self.ready.append(tx)
-
     def alarm(self, when, tx):
         """Look at it (None: at the list) at that time."""
         self.turn += 1
@@ -482,7 +481,7 @@
         while self.alarms and self.alarms[0][0] <= now:
             tx = heappop(self.alarms)[2]
             if tx is not None and (not tx.done or tx.out):
-                self.rouse(tx)
+                self.ready.append(tx)
         if self.watch_at is not None and now >= self.watch_at:
             # Ask again should no answer come at all, before this counts as not asked.
             self.watch_at = now + self.terms.ask_within // 2
@@ -511,8 +510,8 @@
         if tx.held:
             return self.give_up(now, tx) if now >= self.patience(tx) else None
         self.survey(now)
-        if not tx.hops and self.turned_away(tx):
-            return self.give_up(now, tx)
+        if not tx.hops and tx.excess and self.total_out > self.borne / 4:
+            return self.give_up(now, tx)    # the excess of tenants goes first
         if tx.out:
             return self.step_waiting(now, tx)
         if not tx.read:
@@ -527,10 +526,6 @@
         """Until when a transaction may be held with nothing sent."""
         return min(tx.limit, tx.taken + tx.profile.goal)
 
-    def turned_away(self, tx):
-        """The excess of tenants goes first: once more than a quarter of what the caches bear is out."""
-        return tx.excess and self.total_out > self.borne / 4
-
     def cancel(self, tx):
         """The loser of a race, or a hop whose client has gone, is not waited for."""
         if self.terms.may_cancel and tx.out:
@@ -577,7 +572,7 @@
             self.alarm(tx.next, tx)
             if not copy and tx.delay == 0:
                 tx.next = now
-                self.rouse(tx)
+                self.ready.append(tx)
         return decision
 
     def afford(self, tx):
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -97,7 +97,7 @@
                 answer = self.reader.take()
         except BadMessage as err:
             self.pool.caches.broken(self.pool.server, err)
-            self.finish('lost')
+            self.finish('spoilt')
             self.close()
             return
         if not answer:
