What a server bears shrinks only if its answers are slow lately, not on one slow answer

Checked by a probe each second: mean answers of the slower kind of cache take as long as a third of the goal, so each odd one cut its bound to three quarters of what was out. Ruled out: set aside, cold room, origin (its bound stood at 32). Lines at fault: Router.weigh, the test of lasted alone.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -319,8 +319,8 @@
         elif how == 'refused':
             # A full server is crowded, not dead: it gets less until it answers again.
             self.halve(now, server)
-        self.weigh(now, hop, how, lasted)
         self.time(now, hop, how, lasted)
+        self.weigh(now, hop, how, lasted)
         if server.origin:
             self.fetch_ended(now, hop, how, lasted)
         if how == 'missing' and not server.origin:
@@ -349,8 +349,9 @@
 
     def weigh(self, now, hop, how, lasted):
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
-        answers and shrinks by a quarter, once a round, when an answer takes over a third of the goal:
-        crowded caches slow down and stay so. An origin's answers take longer: there it is the goal."""
+        answers and shrinks by a quarter, once a round, when answers take over a third of the goal: crowded
+        caches slow down and stay so. An origin's take longer: there it is the goal. One slow answer alone says
+        nothing: what its server's answers take lately must say so too."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         answered = how in ('committed', 'missing')
@@ -363,7 +364,7 @@
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
         elif hop.sent >= server.eased and how != 'unsent' and (
-                lasted >= most or how in ('refused', 'lost', 'error')):
+                min(lasted, server.lag) >= most or how in ('refused', 'lost', 'error')):
             if server.bear == 1:
                 # One hop from each node keeps a jammed server jammed: let it drain, then trickle back.
                 self.halve(now, server)
