Silent, half and repeating clients go in time; open ids are refused; bytes go out at once

Checked: a profile shows no single hot spot but two turns of the reactor and four epoll calls for every write; a probe showed requests under ids that were open. A silent connection was only closed when places ran short, half a request after 3 s, as late as an answer is owed. Lines at fault: Client/Front (one deadline a request, no age of connections, no look at ids), Link.carry and Client.reply (every byte through the reactor). Connections stand in phases now, looked over ten times a second; the system defers silent ones; a client that sends on after its refusal is not read without end.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import Protocol
 
 from .http import ANSWER, BadMessage, Reader, request
-from .sockets import connect, quiet
+from .sockets import connect, push, quiet
 from .tables import Table
 
 KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
@@ -62,23 +62,27 @@
 
     def __init__(self, pool):
         self.pool, self.reader = pool, Reader(ANSWER)
-        self.trip = None
-        self.left = None                # whether the hop's last byte went to the system; None: no hop yet
+        self.trip, self.unsent = None, b''      # unsent: what of the hop has not gone to the system
+        self.left = True                # whether the hop's last byte has gone there
         self.number, self.idle_until, self.timed = None, None, False
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
 
     def carry(self, trip):
-        """Send a hop. As a pull producer, this is asked for more once all that it wrote has left."""
-        self.trip, trip.link, self.left = trip, self, None
-        self.transport.registerProducer(self, False)
+        """Send a hop: at once, or what the system does not take as a pull producer, which is asked for more once
+        all that it wrote has left."""
+        self.trip, trip.link = trip, self
+        data = b''.join(request(trip.message, max(1, trip.until - self.pool.caches.clock())))
+        self.unsent = data[push(self.transport, data):]
+        self.left = not self.unsent
+        if self.unsent:
+            self.transport.registerProducer(self, False)
 
     def resumeProducing(self):
-        if self.left is None:
-            self.left = False
-            wait = max(1, self.trip.until - self.pool.caches.clock())
-            self.transport.writeSequence(request(self.trip.message, wait))
+        if self.unsent:
+            self.unsent, data = b'', self.unsent
+            self.transport.write(data)
         else:
             self.left = True
             self.transport.unregisterProducer()
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -9,55 +9,73 @@
 from . import http
 from .http import BadMessage, Reader
 from .logs import LOG
-from .sockets import quiet, unread_for
+from .sockets import defer_accept, push, quiet, unread_for, waiting
 from .tables import Table
 from ..values import BadLine, down, number
 
-LINGER = 10_000                         # for a client to read a last answer and close by itself
-RESTED = 1_000                          # an idle client may be closed to make room after this
-HALFWAY = 5_000                         # a client with half a request may, once nobody is accepted any more
-NEARLY = 2                              # descriptors before the last one: idle clients begin to make way
+# Where a client's connection stands: nothing has come on it yet; nothing is owed on it; part of a request is
+# here; a request is being answered; it has had its last answer and may close.
+FRESH, RESTING, HALF, ASKED, PARTING = 'fresh', 'resting', 'half', 'asked', 'parting'
+# How long it may stand there; and while nobody is accepted any more, in the order in which they make way.
+STAYS = {FRESH: (15_000, 500), PARTING: (10_000, 1_000), HALF: (24_000, 5_000), RESTING: (40_000, 1_000)}
+LOOK = 1_000                            # between two looks at who has stayed for too long; a tenth while full
+NEARLY = 2                              # descriptors before the last one: some begin to make way
+WRONG = 4                               # requests for what does not exist, until a client's connection ends
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
 
 
 class Client(Protocol):
-    """One client's connection. It is idle, or it reads a request, or a request on it is being answered."""
+    """One client's connection."""
 
     def __init__(self, front):
         self.front, self.reader = front, Reader(http.REQUEST)
         self.number = self.errand = None        # errand: what the node makes of the present request
-        self.since = 0                  # when the present request's first byte came, or idleness began
-        self.lasting, self.ending = True, False
+        self.phase = None               # one of those above, None once the connection has ended
+        self.since = 0                  # when its phase began; for a request, when its first byte came
+        self.lasting, self.answered = True, False
+        self.wrong, self.dropped = 0, 0         # requests for nothing there is; bytes read since the last answer
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self.front.opened(self)
 
     def dataReceived(self, data):
-        if self.ending:
+        if self.phase == PARTING:
+            self.drop(data)
             return
-        if not self.reader.begun and not self.errand:
+        if self.phase in (FRESH, RESTING):
             self.begin()
         self.reader.feed(data)
         self.advance()
         if self.errand and len(self.reader.buffer) > HELD:
             self.transport.pauseProducing()
 
-    def hurry(self, allowed):
-        """Part of a request has been here for longer than is allowed, with nothing owed for it yet: no more."""
-        if not self.errand and not self.ending and self.reader.begun \
-                and self.front.clock() >= self.since + allowed:
+    def drop(self, data):
+        """Nothing more is read. Guards against one that goes on sending: the system holds the rest, unread, at
+        no cost, and the answer that was written still reaches it."""
+        self.dropped += len(data)
+        if self.dropped > HELD:
+            self.transport.pauseProducing()
+
+    def overdue(self):
+        """It has stood where it is for too long. Whether it makes way."""
+        if self.phase == PARTING:
+            self.transport.abortConnection()
+        elif self.phase == HALF:
             self.refuse(408, 'the request did not come')
+        elif quiet(self.transport):
+            self.part()
+        else:
+            return False
+        return True
 
     def begin(self):
-        """The first byte of a request is here: its time runs from when it came. The whole must follow in time."""
-        self.since = self.front.clock() - unread_for(self.transport)
-        self.front.busy(self)
-        self.front.deadlines.at(self.since + self.front.slowest, self.front.head_due, self.number)
+        """The first byte of a request is here: its time runs from when it came."""
+        self.front.put(self, ASKED, self.front.clock() - unread_for(self.transport))
 
     def advance(self):
         """Handle what is here, one request after the other."""
-        while not self.errand and not self.ending:
+        while not self.errand and self.phase != PARTING:
             try:
                 message = self.reader.take()
             except BadMessage as err:
@@ -66,14 +84,17 @@
                 return
             if message is None:
                 self.hint()
-                if not self.reader.begun:
-                    self.front.idle(self)
+                if self.answered and not self.reader.begun:
+                    self.front.put(self, RESTING)
+                else:
+                    self.front.put(self, HALF, self.since)
                 return
             self.lasting = message.lasting
             self.handle(message)
 
     def handle(self, message):
         """A whole request. Guards against a fault of our own, which must not cost the client its answer."""
+        self.front.put(self, ASKED, self.since)
         try:
             self.front.requested(self, message)
         except Exception:
@@ -96,37 +117,34 @@
 
     def reply(self, pieces):
         """The one answer to the present request; pieces were written for a connection that lasts as told."""
-        self.errand = None
-        self.transport.writeSequence(pieces)
+        self.errand, self.answered = None, True
+        data = b''.join(pieces)
+        if not waiting(self.transport):
+            data = data[push(self.transport, data):]
+        if data:
+            self.transport.write(data)
         if not self.lasting:
             self.end()
         elif self.reader.begun:
             self.begin()
             self.front.again(self)      # in a turn of its own: many small requests may stand here
         else:
-            self.front.idle(self)
+            self.front.put(self, RESTING)
         self.transport.resumeProducing()
 
     def end(self):
         """Close once the last answer is written. The client is let close first, for a while: ending with
         bytes unread would reset the connection, and with it the answer."""
-        self.parting()
+        self.front.put(self, PARTING)
         self.transport.loseWriteConnection()
 
     def part(self):
         """Close between requests. One that crosses this is reset unread, and the client sends it anew."""
-        self.parting()
+        self.front.put(self, PARTING)
         self.transport.loseConnection()
 
-    def parting(self):
-        """Nothing more is read from it; it has a while to close."""
-        self.ending = True
-        self.front.busy(self)
-        self.front.deadlines.at(self.front.clock() + LINGER, self.front.linger_due, self.number)
-
     def connectionLost(self, reason=None):
         errand, self.errand = self.errand, None
-        self.ending = True
         self.front.closed(self)
         if errand:
             self.front.node.client_gone(errand)
@@ -143,7 +161,7 @@
         self.slowest = max(profile.hard for profile in terms.profiles)
         self.profiles = {p.name.encode(): row for row, p in enumerate(terms.profiles)}
         self.tenants = {t.name.encode(): row for row, t in enumerate(terms.tenants)}
-        self.resting = {}               # idle clients by number, the longest idle first
+        self.phases = {phase: {} for phase in (FRESH, RESTING, HALF, ASKED, PARTING)}   # the longest there first
         self.port, self.full, self.shut = None, False, False
         self.came = 0                   # when the last client connected
 
@@ -151,35 +169,53 @@
         """Accept clients from now on."""
         self.port = reactor.listenTCP(port, self, backlog=1024, interface=host)
         self.port.numberAccepts = 1
+        defer_accept(self.port)
+        self.look()
 
     def buildProtocol(self, addr):
         self.port.numberAccepts = 0     # keeps it at one a turn: more at once could overrun the budget
         return Client(self)
 
+    def put(self, client, phase, since=None):
+        """A client's connection stands elsewhere from now, or from the time given, on."""
+        if client.phase != phase:
+            if client.phase:
+                del self.phases[client.phase][client.number]
+            self.phases[phase][client.number] = client
+            client.phase = phase
+        client.since = self.clock() if since is None else since
+
     def opened(self, client):
         """A client has connected. Guards against running out: idle clients make way, or nobody is accepted
         until one has gone; they wait in the system's queue and lose nothing."""
         client.number = self.table.add(client)
         self.came = self.clock()
-        self.idle(client)
+        self.put(client, FRESH)
         if len(self.table) >= self.budget - NEARLY:
-            self.make_room()
+            self.make_room(1, True)
         self.see_to_room()
 
-    def make_room(self, _=0):
-        """The longest idle clients go, if they have been idle for a while and no request of theirs lies unread;
-        where nobody is accepted any more, so do those that hold a place with half a request."""
-        now, places = self.clock(), self.budget // 16 if self.full else 1
-        for client in list(self.resting.values()):
-            if not places or now < client.since + RESTED:
-                break
-            if quiet(client.transport):
-                client.part()
-                places -= 1
+    def look(self, _=0):
+        """Who has stayed for too long goes."""
+        self.make_room(self.budget, False)
+        self.deadlines.at(self.clock() + LOOK, self.look, 0)
+
+    def press(self, _=0):
+        """The same, sooner and some at a time, while nobody is accepted."""
         if self.full:
-            for client in self.table:
-                client.hurry(HALFWAY)
-            self.deadlines.at(now + RESTED // 10, self.make_room, 0)
+            self.make_room(max(1, self.budget // 16), True)
+            self.deadlines.at(self.clock() + LOOK // 10, self.press, 0)
+
+    def make_room(self, places, short):
+        """Those that have been in their phase for too long go, but none that has a request unread; those that may
+        ask again go last, until there are so many places. Guards against clients that say nothing, send half a
+        request, or never close."""
+        now, freed = self.clock(), 0
+        for phase, stays in STAYS.items():
+            for client in list(self.phases[phase].values()):
+                if now < client.since + stays[short] or phase == RESTING and freed >= places:
+                    break
+                freed += client.overdue()
 
     def see_to_room(self):
         """Accept while there is room."""
@@ -188,7 +224,7 @@
             self.full = full
             (self.port.stopReading if full else self.port.startReading)()
             if full:
-                self.deadlines.at(self.clock() + RESTED // 10, self.make_room, 0)
+                self.deadlines.at(self.clock() + LOOK // 10, self.press, 0)
 
     def shut_door(self):
         """Accept nobody any more."""
@@ -196,18 +232,10 @@
             self.shut = True
             self.port.stopListening()
 
-    def idle(self, client):
-        """Nothing is owed on it."""
-        client.since = self.clock()
-        self.resting[client.number] = client
-
-    def busy(self, client):
-        """A request has begun, or the connection ends."""
-        self.resting.pop(client.number, None)
-
     def closed(self, client):
         """A client's connection has ended."""
-        self.busy(client)
+        del self.phases[client.phase][client.number]
+        client.phase = None
         self.table.remove(client.number)
         self.see_to_room()
 
@@ -220,21 +248,9 @@
         if client:
             client.advance()
 
-    def head_due(self, number_):
-        """Guards against clients that send half a request and vanish."""
-        client = self.table.get(number_)
-        if client:
-            client.hurry(self.slowest)
-
-    def linger_due(self, number_):
-        """Guards against clients that never close."""
-        client = self.table.get(number_)
-        if client:
-            client.transport.abortConnection()
-
     def close_idle(self):
         """Ask clients between requests to go."""
-        for client in list(self.resting.values()):
+        for client in [*self.phases[FRESH].values(), *self.phases[RESTING].values()]:
             if quiet(client.transport):
                 client.part()
 
@@ -248,6 +264,10 @@
             return
         parts = path.split(b'/')
         row = self.profiles.get(parts[1]) if len(parts) > 1 and not parts[0] else None
+        if row is None or method not in (b'GET', b'PUT'):
+            # Guards against one that asks for the same again as soon as it is turned away.
+            client.wrong += 1
+            client.lasting = client.lasting and client.wrong < WRONG
         if row is None:
             client.reply(http.answer(404, self.stay(client), 'no such path\n'))
         elif method not in (b'GET', b'PUT'):
@@ -270,10 +290,16 @@
             self.node.count('malformed')
             client.refuse(400, 'Host, Req-Id, Req-Deadline or Req-Owner out of form')
             return
+        if message.field(b'req-id') in self.node.ids:
+            # Guards against a second effect under one id; the first goes on.
+            self.node.count('malformed')
+            client.refuse(409, 'this Req-Id is open')
+            return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
         self.node.take(client, message, row, tenant, key, client.since + wait)
 
     def stay(self, client):
         """Whether the connection is kept after this answer: others may wait for its place."""
-        client.lasting = client.lasting and not self.full and not self.node.leaving()
+        crowded = len(self.phases[ASKED]) >= self.budget - NEARLY
+        client.lasting = client.lasting and not crowded and not self.node.leaving()
         return client.lasting
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -19,7 +19,7 @@
                  b'upgrade', b'expect', b'content-length', b'req-deadline'))
 SINGLE = frozenset((b'host', b'req-id', b'req-deadline', b'req-owner', b'idempotency-key', b'srv-declined'))
 REASONS = {200: 'OK', 400: 'Bad Request', 404: 'Not Found', 405: 'Method Not Allowed', 408: 'Request Timeout',
-           413: 'Content Too Large', 431: 'Request Header Fields Too Large', 500: 'Internal Server Error',
+           409: 'Conflict', 413: 'Content Too Large', 431: 'Request Header Fields Too Large', 500: 'Internal Server Error',
            502: 'Bad Gateway', 503: 'Service Unavailable', 504: 'Gateway Timeout'}
 
 
@@ -49,7 +49,8 @@
 
     def tokens(self, name):
         """The comma-separated words of a field."""
-        return {word.strip().lower() for word in self.fields.get(name, b'').split(b',')} - {b''}
+        value = self.fields.get(name)
+        return {word.strip().lower() for word in value.split(b',')} - {b''} if value else ()
 
     @property
     def lasting(self):
@@ -77,20 +78,21 @@
     if not begun:
         raise BadMessage(400, 'first line out of form')
     message = Message(bytes(memoryview(buffer)[:end]), begun)
-    at = begun.end()
+    head, at, lines, fields = message.head, begun.end(), message.lines, message.fields
     while at < end - 2:
-        line = FIELD.match(buffer, at, end)
+        line = FIELD.match(head, at)
         if not line:
             raise BadMessage(400, 'header line out of form')
-        name, value = line[1].lower(), line[2].strip(b' \t')
-        message.lines.append((name, at, line.end()))
-        if name not in message.fields:
-            message.fields[name] = value
+        name, value = line.groups()
+        name, value = name.lower(), value.strip(b' \t')
+        lines.append((name, at, line.end()))
+        at = line.end()
+        if name not in fields:
+            fields[name] = value
         elif name not in SINGLE:
-            message.fields[name] += b', ' + value
-        elif message.fields[name] != value:
+            fields[name] += b', ' + value
+        elif fields[name] != value:
             raise BadMessage(400, 'header field twice')
-        at = line.end()
     return message
 
 
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -31,10 +31,11 @@
 class Errand:
     """A transaction that the node has taken, and the client it owes an answer."""
 
-    __slots__ = ('number', 'client', 'message', 'tx', 'passages')
+    __slots__ = ('number', 'name', 'client', 'message', 'tx', 'passages')
 
     def __init__(self, client, message):
         self.client, self.message = client, message
+        self.name = message.field(b'req-id')
         self.number = self.tx = None
         self.passages = []              # hops under way
 
@@ -61,6 +62,7 @@
         self.router = Router(place.terms, place.seed, place.rank)
         self.servers = {}
         self.errands, self.passages = Table(), Table()
+        self.ids = set()                # what clients call the transactions that are open
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         budget = max(LEAST, (self.descriptors() - SPARE) // 2)
         self.front = Front(self, self.deadlines, self.clock, place.terms, budget)
@@ -143,6 +145,7 @@
         """A client's request has come whole: one answer is owed from here on."""
         errand = client.errand = Errand(client, message)
         errand.number = self.errands.add(errand)
+        self.ids.add(errand.name)
         self.count('taken')
         errand.tx = self.router.take(self.clock(), row, tenant, key, limit, message.parts[0] == b'PUT')
         errand.tx.ref = errand
@@ -159,6 +162,7 @@
     def forget(self, errand):
         """The client has its answer, or needs none; hops may still end, with nothing to hold on to. The client."""
         self.errands.remove(errand.number)
+        self.ids.discard(errand.name)
         client, errand.client, errand.message = errand.client, None, None
         return client
 
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -30,6 +30,29 @@
     return False
 
 
+def defer_accept(port):
+    """Let the system keep a new connection to itself until its first bytes come, or for a second. Guards against
+    connections by the hundreds that say nothing: they take no place from those that ask."""
+    try:
+        port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
+    except (OSError, AttributeError):
+        return
+
+
+def waiting(transport):
+    """Whether the transport still holds bytes that the system has not taken."""
+    return len(transport.dataBuffer) > transport.offset or bool(transport._tempDataBuffer)
+
+
+def push(transport, data):
+    """Send at once, past the transport's buffer, which must hold nothing; how many bytes the system took. What a
+    connection has come to is left for the transport to find."""
+    try:
+        return transport.getHandle().send(data)
+    except OSError:
+        return 0
+
+
 def unread_for(transport):
     """How long ago the system took the last bytes that came on a connection, as Linux tells it to the
     millisecond. Guards against a node that stood still: the client's limit has run meanwhile."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -108,7 +108,8 @@
 class Wire(StringTransport):
     """A connection that holds what is written and may have something unread."""
 
-    unread, aborted, half_closed, age = None, False, False, 0
+    unread, aborted, half_closed, age, stuck = None, False, False, 0, False
+    dataBuffer, offset, _tempDataBuffer = b'', 0, ()
 
     def setTcpNoDelay(self, on):
         """Nothing to set here."""
@@ -120,6 +121,13 @@
         """The system's word on when the last bytes came, age milliseconds ago."""
         return bytes(52) + self.age.to_bytes(4, 'little')
 
+    def send(self, data):
+        """The system takes all, or nothing while the connection is stuck."""
+        if self.stuck:
+            raise BlockingIOError
+        self.write(data)
+        return len(data)
+
     def recv(self, count, flags):
         if self.unread is None:
             raise BlockingIOError
@@ -161,9 +169,10 @@
     return protocol, wire
 
 
-def dialled(made, which=-1):
+def dialled(made, which=-1, stuck=False):
     """Let a connection that the node opens come up: its wire."""
     wire = Wire()
+    wire.stuck = stuck
     wire.protocol = made.reactor.tcpClients[which][2].buildProtocol(None)
     wire.protocol.makeConnection(wire)
     return wire
@@ -174,9 +183,10 @@
     made.reactor.tcpClients[which][2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
 
 
-def asked(made, text='GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\n\r\n'):
-    """A client that has sent a request: its wire."""
+def asked(made, text='GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n\r\n'):
+    """A client that has sent a request, under an id that is not open: its wire."""
     protocol, wire = client(made)
+    text = text.replace('%d', str(len(made.ids) + 7))
     protocol.dataReceived(text.encode())
     wire.protocol = protocol
     return wire
@@ -184,10 +194,7 @@
 
 def sent(made, *given):
     """A client whose request has gone to a cache whole: (client's wire, cache's wire)."""
-    wire = asked(made, *given)
-    cache = dialled(made)
-    cache.flush()
-    return wire, cache
+    return asked(made, *given), dialled(made)
 
 
 def lost(wire):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 
 from .helpers import asked, client, dialled, entry, lost, node, page, refused, said, sent
 
+READY = 'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n'
 PUT = 'PUT /%s/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\nhi'
 
 
@@ -179,6 +180,50 @@
         made.reactor.advance(1.1)
         self.assertTrue(wire.aborted)
 
+    def test_one_that_says_nothing_is_closed_in_time_and_so_is_one_that_says_next_to_nothing(self):
+        made = node()
+        silent, empty = client(made)[1], asked(made, '\r\n')
+        for _ in range(25):
+            made.reactor.advance(0.1)
+            empty.protocol.dataReceived(b'\r\n')
+        self.assertEqual((silent.disconnecting, status(empty)), (True, 408))
+
+    def test_one_that_asked_once_and_stays_is_closed_after_a_while(self):
+        made = node()
+        wire = asked(made, READY)
+        made.reactor.pump([0.1] * 20)
+        early = wire.ended
+        made.reactor.pump([0.1] * 25)
+        self.assertEqual((early, wire.disconnecting), (False, True))
+
+    def test_a_refused_client_that_goes_on_sending_is_not_read_and_not_reset_at_once(self):
+        wire = asked(node(), 'PUT /read/k HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n')
+        wire.protocol.dataReceived(b'x' * (front_module.HELD + 1))
+        self.assertEqual((status(wire), wire.producerState, wire.aborted), (413, 'paused', False))
+
+    def test_an_id_that_is_open_is_refused_and_the_first_goes_on(self):
+        made = node()
+        text = 'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\n\r\n'
+        wire, cache = sent(made, text)
+        dials = len(made.reactor.tcpClients)
+        second = asked(made, text)
+        cache.protocol.dataReceived(said())
+        self.assertEqual((status(second), status(wire), len(made.reactor.tcpClients)), (409, 200, dials))
+        self.assertEqual(status(asked(made, text)), None)       # it is free again
+
+    def test_one_that_asks_for_nothing_there_is_again_and_again_loses_its_connection(self):
+        wire = asked(node(), 'GET /nope HTTP/1.1\r\nHost: x\r\n\r\n')
+        for _ in range(3):
+            early = wire.ended
+            wire.protocol.dataReceived(b'GET /nope HTTP/1.1\r\nHost: x\r\n\r\n')
+        self.assertEqual((early, wire.half_closed), (False, True))
+
+    def test_what_the_system_does_not_take_at_once_is_written_later(self):
+        wire, cache = sent(node())
+        wire.send = lambda data: wire.write(data[:10]) or 10
+        cache.protocol.dataReceived(said(body='value'))
+        self.assertEqual(wire.value(), b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue')
+
     def test_a_client_that_waits_to_send_its_body_is_told_to(self):
         wire = asked(node(), PUT[:-2].replace('Host', 'Expect: 100-continue\r\nHost') % 'read')
         self.assertEqual(wire.value(), b'HTTP/1.1 100 Continue\r\n\r\n')
@@ -213,11 +258,18 @@
         self.assertEqual(self.reading, [False, True])
 
     def test_the_longest_idle_makes_way(self):
-        wires = [client(self.made)[1] for _ in range(2)]
+        wires = [asked(self.made, READY) for _ in range(2)]
         self.made.reactor.advance(0.2)
         client(self.made)
         self.assertEqual([wire.ended for wire in wires], [True, False])
 
+    def test_those_that_never_spoke_make_way_before_those_that_did(self):
+        spoke = asked(self.made, READY)
+        silent = client(self.made)[1]
+        self.made.reactor.advance(0.2)
+        client(self.made)
+        self.assertEqual((spoke.ended, silent.ended), (False, True))
+
     def test_one_with_a_request_unread_does_not(self):
         wires = [client(self.made)[1] for _ in range(2)]
         wires[0].unread = b'GET'
@@ -232,10 +284,10 @@
 
     def test_idle_clients_do_not_keep_others_out(self):
         self.front.budget = 32                  # two make way at a time
-        wires = [client(self.made)[1] for _ in range(4)]
+        wires = [asked(self.made, READY) for _ in range(4)]
         self.made.reactor.advance(0.2)
         self.front.full = True
-        self.front.make_room()
+        self.front.press()
         self.assertEqual([wire.ended for wire in wires].count(True), 2)
 
     def test_one_that_has_just_come_does_not(self):
@@ -289,7 +341,7 @@
         made = node()
         asked(made, PUT % 'once')
         dials = len(made.reactor.tcpClients)
-        lost(dialled(made))
+        lost(dialled(made, stuck=True))
         self.assertEqual((self.ended(made), len(made.reactor.tcpClients)), (['unreachable'], dials + 1))
 
     def test_broken_after_it_it_may_have_run_and_nothing_goes_again(self):
@@ -552,7 +604,7 @@
         made = node()
         step, dials = made.router.step, len(made.reactor.tcpClients)
         made.router.step = lambda now, tx: step(now, tx) if tx.key == 'k' else {}['fault']
-        bad = asked(made, 'GET /read/bad HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\n\r\n')
+        bad = asked(made, 'GET /read/bad HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n\r\n')
         asked(made)
         served = len(made.reactor.tcpClients) - dials
         made.reactor.pump([0.1] * 21)
