--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -23,7 +23,8 @@
 from .terms import IDEMPOTENT, JOURNALLED
 
 NEVER_RAN = ('refused', 'unreachable', 'unsent', 'missing')   # endings that prove a hop never ran
-BLAMELESS = ('unsent', 'cancelled', 'spoilt')   # endings that tell nothing of how busy a server is
+# Endings that tell nothing of how busy a server is; rejected: the request is bad, and that was its answer.
+BLAMELESS = ('unsent', 'cancelled', 'spoilt', 'rejected')
 FLOOR = 1 / 32          # a set-aside server's trickle, as a share of what would be its own
 DOUBT = 4               # unanswered hops in a row that set a server aside
 RACES, LOOKUPS = 16, 32  # the paper's windows
@@ -311,7 +312,7 @@
         hop.ran = how not in NEVER_RAN
         if how in ('committed', 'missing', 'error'):
             self.answered(now, hop, lasted, how, note)
-        elif how == 'spoilt':
+        elif how in ('spoilt', 'rejected'):
             server.doubt = 0        # it answers, whatever came of that on the way
         elif (how in ('unreachable', 'lost') or how == 'expired' and now >= tx.limit
               or how == 'cancelled' and hop.dropped):
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -28,7 +28,7 @@
         return 'missing'
     if status in (b'503', b'504') and answer.field(b'srv-declined') == b'1':
         return 'refused'
-    return 'error'
+    return 'rejected' if status.startswith(b'4') else 'error'
 
 
 class Trip:
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -202,13 +202,16 @@
         errand.passages.remove(passage)
         now = self.clock()
         open_ = self.errands.get(errand.number) is errand
-        if how == 'committed' and open_:
+        final = how in ('committed', 'rejected')        # rejected: it is the request that is bad, not the server
+        if final and open_:
             client = self.forget(errand)
-            self.count('committed')
-            client.reply(http.relayed(answer, self.front.stay(client)))
+            self.count(how)
+            lasting = self.front.stay(client)
+            client.reply(http.relayed(answer, lasting) if how == 'committed'
+                         else http.answer(400, lasting, 'turned away by the server\n'))
         note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
         self.count('hops_' + how)
-        self.router.hop_ended(now, hop, how, now - hop.sent, how == 'committed' or hop.tx.done, note)
+        self.router.hop_ended(now, hop, how, now - hop.sent, final or hop.tx.done, note)
         self.settle()
 
     def broken(self, server, err):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -319,7 +319,7 @@
         return sorted(what[5:] for what in made.counts if what.startswith('hops_'))
 
     def test_what_an_answer_says(self):
-        cases = {said(200): 'committed', said(404): 'missing', said(500): 'error', said(302): 'error',
+        cases = {said(200): 'committed', said(404): 'missing', said(500): 'error', said(302): 'error', said(400): 'rejected',
                  said(503): 'error', said(503, more='Srv-Declined: 1\r\n'): 'refused',
                  said(504, more='Srv-Declined: 1\r\n'): 'refused', b'HTTP/1.1 100 Continue\r\n\r\n' + said(): 'committed',
                  b'nonsense\r\n\r\n': 'spoilt', said(200, 'x' * 70_000): 'spoilt',
@@ -330,6 +330,12 @@
                 sent(made, PUT % 'once' if how == 'spoilt' else PUT % 'read')[1].protocol.dataReceived(answer)
                 self.assertEqual(self.ended(made), [how])
 
+    def test_a_request_that_a_server_rejects_is_not_tried_elsewhere(self):
+        made = node(known={'generation': 4, 'reset': True, 'instances': [entry('c0'), entry('c1')]})
+        wire, cache = sent(made)
+        cache.protocol.dataReceived(said(400))
+        self.assertEqual((status(wire), self.ended(made), made.router.poor), (400, ['rejected'], 0))
+
     def test_a_half_answer_is_no_answer(self):
         made = node()
         wire, cache = sent(made, PUT % 'once')
