Large answers pass, gone servers are forgotten, who waited long at the door is turned away

From 10 s on both nodes used all of their 0.7 cores; then 900 requests a second had passed their limit when first read, nearly all on new connections whose client had gone: the queue at the door fed on itself.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -1,14 +1,14 @@
 """All decisions of a lilacdyke node: which cache a transaction goes to, when a copy follows, when to give up.
 
 How to call it. One Router an instance, built from the site's terms, a seed and the node's rank. Inputs
-(list_changed, list_replaced, list_remembered, list_failed, take, hop_started, hop_ended, client_gone,
-woken) take the present time and only update what is known. After them the host pulls `decide(now)` until it
+(list_changed, list_replaced, list_remembered, list_failed, take, hop_started, hop_ended, client_gone)
+take the present time and only update what is known. After them the host pulls `decide(now)` until it
 gives None; each decision is a tuple led by a verb:
     ('send', hop, patience)   start this hop, to hop.server, timed out after patience (None: at the limit)
     ('cancel', hop)           stop waiting for this hop
     ('roll_back', tx, after)  final answer: trying again is harmless, best after so long (0: no hint)
     ('abandon', tx)           final answer: nothing is promised
-    ('watch',)                ask for the list's changes; ('wake', when) call woken() then
+    ('watch',)                ask for the list's changes; ('wake', when) pull again then
     ('close', server)         close the connections to it that are idle
     ('log', text)             a line for staff
 The host passes the first committed answer on by itself. Times are whole tenths of a millisecond.
@@ -160,7 +160,8 @@
     """A transaction that this node has taken."""
 
     __slots__ = ('ref', 'profile', 'tenant', 'key', 'mark', 'taken', 'limit', 'write', 'read', 'hops', 'out',
-                 'done', 'rank', 'next', 'delay', 'missed', 'held', 'again', 'excess', 'copied', 'queued')
+                 'done', 'rank', 'next', 'delay', 'missed', 'held', 'again', 'excess', 'copied', 'queued',
+                 'twice')
 
     def __init__(self, profile, tenant, key, mark, now, limit, write):
         self.ref = None         # the host's own mark
@@ -206,6 +207,7 @@
         goals = [profile.goal for profile in terms.profiles]
         self.goal = min(goals)
         self.unit = max(1, self.goal // 32)
+        self.hint = min(terms.max_return, self.goal)    # when who is turned away should come back; 0: not told
         self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
         self.caches, self.origin, self.known = [], None, {}
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0   # ready: looked at next
@@ -265,6 +267,8 @@
         self.known[server.name] = server
 
     def relist(self):
+        # Gone for good: a hop that is out, or was, still holds its server; the next list looks again.
+        self.known = {name: s for name, s in self.known.items() if s.state != 'gone' or s.out}
         ready = [server for server in self.known.values() if server.state == 'ready']
         self.caches = sorted((s for s in ready if not s.origin), key=lambda s: s.name)
         self.origin = next((s for s in ready if s.origin), None)
@@ -272,11 +276,12 @@
 
     # --- transactions -----------------------------------------------------------------------------------
 
-    def take(self, now, row, tenant, key, limit, write):
-        """A transaction arrives; one final answer is owed from here on."""
+    def take(self, now, row, tenant, key, limit, write, since):
+        """A transaction arrives, since then at the node's door; one final answer is owed from here on."""
         self.last, self.every = now, (7 * self.every + now - self.last) / 8 if self.last else 0
         mark = crc32(key.encode()) if key is not None else int(self.chance() * (1 << 32))
-        tx = Tx(self.terms.profiles[row], tenant, key, mark, now, limit, write)
+        tx = Tx(self.terms.profiles[row], tenant, key, mark, since, limit, write)
+        tx.twice = self.terms.may_copy and tx.read      # only idempotent reads are ever out twice
         tx.excess = bool(self.tenancies) and self.tenancies[tenant].over(now)
         if not write:
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
@@ -350,9 +355,8 @@
 
     def weigh(self, now, hop, how, lasted):
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
-        answers and shrinks by a quarter, once a round, when answers take over a third of the goal: crowded
-        caches slow down and stay so. An origin's take longer: there it is the goal. One slow answer alone says
-        nothing: what its server's answers take lately must say so too."""
+        answers and shrinks by a quarter, once a round, when they take over a third of the goal, this one and
+        those lately: crowded caches slow down and stay so. An origin's take longer: there it is the goal."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         answered = how in ('committed', 'missing')
@@ -464,11 +468,6 @@
                 tx.held, tx.again = False, tx.missed
                 self.ready.append(tx)
 
-    def woken(self, now):
-        """A wake-up that was asked for."""
-        if self.asked is not None and now >= self.asked:
-            self.asked = None
-
     # --- deciding ---------------------------------------------------------------------------------------
 
     def alarm(self, when, tx):
@@ -480,9 +479,15 @@
         """The next decision, or None when there is none left."""
         if self.logs:
             return 'log', self.logs.popleft()
-        while self.alarms and self.alarms[0][0] <= now:
-            tx = heappop(self.alarms)[2]
-            if tx is not None and (not tx.done or tx.out):
+        if self.asked is not None and now >= self.asked:
+            self.asked = None
+        while self.alarms:
+            when, _, tx = self.alarms[0]
+            over = tx is not None and tx.done and not tx.out    # no wake-up is asked for that
+            if when > now and not over:
+                break
+            heappop(self.alarms)
+            if tx is not None and not over:
                 self.ready.append(tx)
         if self.watch_at is not None and now >= self.watch_at:
             # Ask again should no answer come at all, before this counts as not asked.
@@ -512,7 +517,7 @@
         if tx.held:
             return self.give_up(now, tx) if now >= self.patience(tx) else None
         self.survey(now)
-        if not tx.hops and tx.excess and self.total_out > self.borne / 4:
+        if not tx.hops and (self.late(now - tx.taken) or tx.excess and self.total_out > self.borne / 4):
             return self.give_up(now, tx)    # the excess of tenants goes first
         if tx.out:
             return self.step_waiting(now, tx)
@@ -524,6 +529,10 @@
             return self.step_fetch(now, tx)
         return self.step_read(now, tx, False)
 
+    def late(self, waited):
+        """Whether what waited so long at the door is turned away: the node cannot keep up, all would be late."""
+        return 2 * waited > self.goal
+
     def patience(self, tx):
         """Until when a transaction may be held with nothing sent."""
         return min(tx.limit, tx.taken + tx.profile.goal)
@@ -539,7 +548,7 @@
 
     def step_waiting(self, now, tx):
         """A hop is out: send a copy once the delay has passed, or fetch if another cache missed already."""
-        if tx.next is None or now < tx.next or not self.may_copy(tx):
+        if tx.next is None or now < tx.next or not tx.twice:
             return None
         if tx.missed:
             return self.step_fetch(now, tx)
@@ -548,10 +557,6 @@
             self.copies_left, tx.copied = self.copies_left - 1, True
         return decision
 
-    def may_copy(self, tx):
-        """Only idempotent reads are ever out twice."""
-        return self.terms.may_copy and tx.read
-
     def step_read(self, now, tx, copy):
         """Send to the best-ranked cache not yet tried; a copy's absence is no reason to give up."""
         if not (copy or tx.again or tx.missed or self.afford(tx)):
@@ -570,7 +575,7 @@
         else:
             tx.delay = server.pace.delay(tx.profile.goal // 4, tx.profile.goal // 2)
         tx.next = now + max(tx.delay, 1)
-        if self.may_copy(tx):
+        if tx.twice:
             self.alarm(tx.next, tx)
             if not copy and tx.delay == 0:
                 tx.next = now
@@ -600,9 +605,7 @@
         if leader is not None and leader is not tx and len(tx.hops) < self.terms.max_hops - 1:
             self.followers.setdefault(tx.key, []).append(tx)
             return self.hold(tx)
-        if not self.origin:
-            return self.give_up(now, tx)
-        if not self.welcome(now, tx, self.origin, self.chance()):
+        if not self.origin or not self.welcome(now, tx, self.origin, self.chance()):
             return self.give_up(now, tx)
         if self.origin.out >= self.origin.bear:
             mean = self.fetches.spread()[0] or self.goal // 4
@@ -675,8 +678,8 @@
         return tx.rank
 
     def survey(self, now):
-        """Figures over all caches, worked out anew at most once a tick."""
-        if self.surveyed == now:
+        """Figures over all caches, worked out anew now and then."""
+        if self.surveyed is not None and now - self.surveyed < self.goal // 256:
             return
         self.surveyed = now
         if now - self.window >= self.terms.fall_window:
@@ -713,19 +716,15 @@
         """The four rules, for one more hop of this transaction to this server."""
         if tx.done or now >= tx.limit or len(tx.hops) >= self.terms.max_hops or server.state != 'ready':
             return False
-        if not self.cold_room(now, server) or tx.out and not self.may_copy(tx):
+        if not self.cold_room(now, server) or tx.out and not tx.twice:
             return False
         ran = [hop for hop in tx.hops if hop.ran]
         if not ran or tx.profile.effect == IDEMPOTENT:
             return True
         if tx.profile.effect != JOURNALLED or now >= ran[0].sent + tx.profile.window - self.terms.tick:
             return False
-        return all(self.grouped(tx.profile.group, hop.server, server) for hop in ran)
-
-    @staticmethod
-    def grouped(group, one, other):
-        """Whether two servers drop each other's repeats."""
-        return group == 'all' or (one.zone == other.zone if group == 'zone' else one.cell == other.cell)
+        group = tx.profile.group        # within it servers drop each other's repeats
+        return group == 'all' or all(getattr(hop.server, group) == getattr(server, group) for hop in ran)
 
     def send(self, now, tx, server, copy):
         """The one place that sends."""
@@ -748,5 +747,5 @@
         ran = [hop for hop in tx.hops if hop.ran]
         self.finish(now, tx)
         if not ran or effect == IDEMPOTENT or effect == JOURNALLED and tx.profile.group == 'all':
-            return 'roll_back', tx, min(self.terms.max_return, self.goal)
+            return 'roll_back', tx, self.hint
         return 'abandon', tx
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -11,10 +11,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
 
-from .http import ANSWER, BadMessage, Reader, request
+from .http import ANSWER, MAX_BODY, BadMessage, Reader, request
 from .sockets import connect, push, quiet
 from .tables import Table
 
+HELD = 0.125                            # of the node's memory, for answers that are large and still coming
 KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
 NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
 
@@ -61,7 +62,8 @@
     """One connection to a cache server; it carries one hop at a time."""
 
     def __init__(self, pool):
-        self.pool, self.reader = pool, Reader(ANSWER)
+        self.pool, self.reader = pool, Reader(ANSWER, pool.caches.most)
+        self.held = 0                   # bytes set aside for an answer that is large
         self.trip, self.unsent = None, b''      # unsent: what of the hop has not gone to the system
         self.left = True                # whether the hop's last byte has gone there
         self.number, self.idle_until, self.timed = None, None, False
@@ -99,6 +101,8 @@
             answer = self.reader.take()
             while answer and answer.parts[1][0:1] == b'1':      # only a word before the answer
                 answer = self.reader.take()
+            if not answer and self.reader.size > MAX_BODY:
+                self.hold()
         except BadMessage as err:
             self.pool.caches.broken(self.pool.server, err)
             self.finish('spoilt')
@@ -107,6 +111,7 @@
         if not answer:
             return
         if self.left and answer.lasting and not self.reader.begun:
+            self.release()
             trip, self.trip = self.trip, None
             self.pool.rest(self)
             trip.over(ending(answer), answer)
@@ -114,13 +119,30 @@
             self.finish(ending(answer), answer)
             self.close()
 
+    def hold(self):
+        """Set memory aside for a large answer: a fixed part of the node's serves all of them. Guards against one
+        said to have gigabytes, as against many at once."""
+        caches = self.pool.caches
+        if not self.held:
+            self.held = self.reader.need or caches.most     # in chunks it may have any length
+            caches.held += self.held
+            if caches.held > caches.most:
+                raise BadMessage(413, 'no memory for an answer of %d bytes' % self.held)
+
+    def release(self):
+        """The answer is here, or does not come."""
+        self.pool.caches.held -= self.held
+        self.held = 0
+
     def finish(self, how, answer=None):
         """End the hop that is on it."""
+        self.release()
         trip, self.trip = self.trip, None
         trip.over(how, answer)
 
     def give_up(self):
         """The hop is not waited for."""
+        self.release()
         self.trip = None
         self.close()
 
@@ -230,6 +252,7 @@
     def __init__(self, reactor, deadlines, clock, place, budget, broken, fault):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
+        self.most, self.held = int(place.memory * HELD), 0
         self.budget = budget
         self.broken, self.fault = broken, fault     # told of answers out of form, and of faults in here
         self.pools, self.table, self.dialling = {}, Table(), Table()
@@ -249,6 +272,10 @@
             pool.address = address
             pool.close_idle()
 
+    def forget(self, server):
+        """A server is gone for good."""
+        self.pools.pop(server).close_idle()
+
     def tidy(self):
         """Connections to servers that want nothing new are not kept."""
         for pool in self.pools.values():
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -9,7 +9,7 @@
 from . import http
 from .http import BadMessage, Reader
 from .logs import LOG
-from .sockets import defer_accept, push, quiet, unread_for, waiting
+from .sockets import guard, push, quiet, unread_for, waiting
 from .tables import Table
 from ..values import BadLine, down, number
 
@@ -32,6 +32,7 @@
         self.number = self.errand = None        # errand: what the node makes of the present request
         self.phase = None               # one of those above, None once the connection has ended
         self.since = 0                  # when its phase began; for a request, when its first byte came
+        self.came = 0                   # when the last bytes read came to this machine
         self.lasting, self.answered = True, False
         self.wrong, self.dropped = 0, 0         # requests for nothing there is; bytes read since the last answer
 
@@ -43,6 +44,7 @@
         if self.phase == PARTING:
             self.drop(data)
             return
+        self.came = self.front.clock() - unread_for(self.transport)
         if self.phase in (FRESH, RESTING):
             self.begin()
         self.reader.feed(data)
@@ -71,7 +73,7 @@
 
     def begin(self):
         """The first byte of a request is here: its time runs from when it came."""
-        self.front.put(self, ASKED, self.front.clock() - unread_for(self.transport))
+        self.front.put(self, ASKED, self.came)
 
     def advance(self):
         """Handle what is here, one request after the other."""
@@ -126,6 +128,7 @@
         if not self.lasting:
             self.end()
         elif self.reader.begun:
+            self.came = self.front.clock()
             self.begin()
             self.front.again(self)      # in a turn of its own: many small requests may stand here
         else:
@@ -169,13 +172,18 @@
         """Accept clients from now on."""
         self.port = reactor.listenTCP(port, self, backlog=1024, interface=host)
         self.port.numberAccepts = 1
-        defer_accept(self.port)
+        guard(self.port, self.node.router.late, self.turned_away)
         self.look()
 
     def buildProtocol(self, addr):
         self.port.numberAccepts = 0     # keeps it at one a turn: more at once could overrun the budget
         return Client(self)
 
+    def turned_away(self):
+        """What one is told whose request has waited at the door for too long."""
+        self.node.count('turned_away')
+        return b''.join(self.node.refusal(False, self.node.router.hint))
+
     def put(self, client, phase, since=None):
         """A client's connection stands elsewhere from now, or from the time given, on."""
         if client.phase != phase:
@@ -296,7 +304,7 @@
             client.refuse(409, 'this Req-Id is open')
             return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
-        self.node.take(client, message, row, tenant, key, client.since + wait)
+        self.node.take(client, message, row, tenant, key, client.since + wait, client.came)
 
     def stay(self, client):
         """Whether the connection is kept after this answer: others may wait for its place."""
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -155,10 +155,10 @@
 class Reader:
     """One side's stream of messages. feed() what came, then take() messages until it gives None."""
 
-    __slots__ = ('first', 'buffer', 'scanned', 'message', 'need', 'chunks')
+    __slots__ = ('first', 'most', 'buffer', 'scanned', 'message', 'need', 'chunks')
 
-    def __init__(self, first):
-        self.first = first              # REQUEST or ANSWER
+    def __init__(self, first, most=MAX_BODY):
+        self.first, self.most = first, most     # REQUEST or ANSWER; the largest body
         self.buffer = bytearray()
         self.reset()
 
@@ -170,6 +170,11 @@
         """Whether part of a message is here."""
         return self.message is not None or bool(self.buffer)
 
+    @property
+    def size(self):
+        """How long the body of the present message is, as far as it is known."""
+        return max(self.need, len(self.message.body) + len(self.buffer)) if self.message else 0
+
     def feed(self, data):
         self.buffer += data
 
@@ -213,7 +218,7 @@
         if coding is not None:
             if coding.lower() != b'chunked':
                 raise BadMessage(400, 'unknown transfer coding')
-            self.chunks = Chunks(MAX_BODY)
+            self.chunks = Chunks(self.most)
             message.body = bytearray()
             return
         if length is None:
@@ -224,7 +229,7 @@
         lengths = {part.strip() for part in length.split(b',')}
         if len(lengths) != 1 or not DIGITS.match(length := lengths.pop()):
             raise BadMessage(400, 'length out of form')
-        if int(length) > MAX_BODY:
+        if int(length) > self.most:
             raise BadMessage(413, 'body too large')
         self.need = int(length)
 
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -6,6 +6,7 @@
 to all that is taken).
 """
 
+import gc
 import resource
 import signal
 from collections import Counter
@@ -141,13 +142,14 @@
 
     # --- clients ----------------------------------------------------------------------------------------
 
-    def take(self, client, message, row, tenant, key, limit):
+    def take(self, client, message, row, tenant, key, limit, since):
         """A client's request has come whole: one answer is owed from here on."""
         errand = client.errand = Errand(client, message)
         errand.number = self.errands.add(errand)
         self.ids.add(errand.name)
         self.count('taken')
-        errand.tx = self.router.take(self.clock(), row, tenant, key, limit, message.parts[0] == b'PUT')
+        write = message.parts[0] == b'PUT'
+        errand.tx = self.router.take(self.clock(), row, tenant, key, limit, write, since)
         errand.tx.ref = errand
         self.deadlines.at(limit, self.limit_due, errand.number)
         self.settle()
@@ -166,10 +168,10 @@
         client, errand.client, errand.message = errand.client, None, None
         return client
 
-    def reply(self, errand, status, text='', more=''):
+    def reply(self, errand, status, text):
         """The final answer of the node's own."""
         client = self.forget(errand)
-        client.reply(http.answer(status, self.front.stay(client), text, more))
+        client.reply(http.answer(status, self.front.stay(client), text))
 
     def limit_due(self, number):
         """The client's limit: hops end, and the module answers. Should it not, one is owed all the same."""
@@ -229,6 +231,10 @@
         """Discovery has told a list, or changes to one."""
         now, rows = self.clock(), [self.entry(entry) for entry in entries]
         (self.router.list_replaced if whole else self.router.list_changed)(now, rows)
+        for server in [server for server in self.servers.values() if server.name not in self.router.known]:
+            # The module has forgotten it, so no hop is out there. Guards against growing with all that ever were.
+            del self.servers[server.name]
+            self.caches.forget(server)
         self.caches.tidy()
         say('list', whole=whole, entries=len(rows), caches=len(self.router.caches))
         self.settle()
@@ -297,7 +303,14 @@
     def do_roll_back(self, tx, after):
         """The client may safely try again."""
         self.count('rolled_back')
-        self.reply(tx.ref, 503, 'try again\n', 'Retry-After: %s\r\n' % seconds(after) if after else '')
+        client = self.forget(tx.ref)
+        client.reply(self.refusal(self.front.stay(client), after))
+
+    @staticmethod
+    def refusal(lasting, after):
+        """The answer that says that trying again is harmless, and when."""
+        more = 'Retry-After: %s\r\n' % seconds(after) if after else ''
+        return http.answer(503, lasting, 'try again\n', more)
 
     def do_abandon(self, tx):
         """Nothing can be promised."""
@@ -311,7 +324,8 @@
 
     def do_close(self, server):
         """Idle connections are not kept."""
-        self.caches.pools[server].close_idle()
+        if server.name in self.router.known:    # else it went meanwhile, and its connections with it
+            self.caches.pools[server].close_idle()
 
     def do_wake(self, when):
         """Let the module look again."""
@@ -322,7 +336,6 @@
         warn(text)
 
     def wake_due(self, _):
-        self.router.woken(self.clock())
         self.settle()
 
     # --- figures ----------------------------------------------------------------------------------------
@@ -353,5 +366,7 @@
     except CannotListenError as err:
         warn('cannot listen', reason=err)
         return 1
+    gc.collect()
+    gc.freeze()         # what the start has made stays for good: the collector need not go through it again
     reactor.run(installSignalHandlers=False)
     return 0
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -5,11 +5,13 @@
 """
 
 import socket
+from errno import EAGAIN
 from struct import error, unpack_from
 
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint, connectProtocol
 
 LAST_RECEIVED = 52                      # where tcp_info tells when bytes last came, in bytes
+CLOSED = (7, 8)                         # states that it tells first: all is over, or the other side has closed
 
 
 def connect(reactor, address, protocol):
@@ -30,13 +32,56 @@
     return False
 
 
-def defer_accept(port):
-    """Let the system keep a new connection to itself until its first bytes come, or for a second. Guards against
-    connections by the hundreds that say nothing: they take no place from those that ask."""
+class Door:
+    """A listening socket that lets in only who is still to be served. Guards against a queue of connections that
+    feeds on itself: those that have waited for too long, or have gone, would cost as much as those in time, and make
+    them late too. Here one costs a few calls to the system."""
+
+    MOST = 32                           # turned away in a row, until other sockets have their turn
+
+    def __init__(self, listening, late, answer):
+        self.listening, self.late, self.answer = listening, late, answer
+
+    def __getattr__(self, name):
+        return getattr(self.listening, name)
+
+    def accept(self):
+        """The next connection to be served, as a socket's own accept gives it."""
+        for _ in range(self.MOST):
+            came, address = self.listening.accept()
+            state, waited = tcp_info(came)
+            if state not in CLOSED and not self.late(waited):
+                return came, address
+            self.turn_away(came, state)
+        raise BlockingIOError(EAGAIN, 'others first')
+
+    def turn_away(self, came, state):
+        """Answer, unless nobody is there any more. What has come is read first: closing on it would take the answer
+        back."""
+        try:
+            if state not in CLOSED:
+                came.recv(65_536, socket.MSG_DONTWAIT)
+                came.send(self.answer(), socket.MSG_DONTWAIT)
+        except OSError:
+            pass                        # it went just now
+        came.close()
+
+
+def tcp_info(handle):
+    """A connection's state, and how long ago the system took the last bytes that came on it, as Linux tells that
+    to the millisecond."""
     try:
-        port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
-    except (OSError, AttributeError):
-        return
+        told = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED + 4)
+        return told[0], unpack_from('=I', told, LAST_RECEIVED)[0] * 10
+    except (OSError, AttributeError, error):
+        return 0, 0
+
+
+def guard(port, late, answer):
+    """Put a Door before a port, and let the system keep a new connection to itself until its first bytes come, or
+    for a second. Guards against connections by the hundreds that say nothing: they take no place."""
+    port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
+    port.socket = Door(port.socket, late, answer)
 
 
 def waiting(transport):
@@ -54,10 +99,6 @@
 
 
 def unread_for(transport):
-    """How long ago the system took the last bytes that came on a connection, as Linux tells it to the
-    millisecond. Guards against a node that stood still: the client's limit has run meanwhile."""
-    try:
-        told = transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED + 4)
-        return unpack_from('=I', told, LAST_RECEIVED)[0] * 10
-    except (OSError, AttributeError, error):
-        return 0
+    """How long what came last on a connection has lain unread. Guards against a node that stood still: the client's
+    limit has run meanwhile."""
+    return tcp_info(transport.getHandle())[1]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -280,6 +280,21 @@
         tx = taken(made)
         self.assertEqual(made.step(20_000, tx)[0], 'roll_back')
 
+    def test_what_lay_at_the_door_for_long_is_rolled_back_with_nothing_sent(self):
+        decisions = []
+        for now in (2_500, 2_501):              # a goal is 5,000
+            made = router(1)
+            tx = made.take(now, 0, 0, 'k', 20_000, False, 0)
+            decisions.append(made.step(now, tx)[0])
+        self.assertEqual(decisions, ['send', 'roll_back'])
+
+    def test_no_wake_up_is_asked_for_what_is_over(self):
+        made = router(1)
+        first, second = taken(made, limit=20_000), taken(made, limit=30_000)
+        made.ready.clear()
+        first.done = True
+        self.assertEqual(made.decide(1), ('wake', 30_000))
+
     def test_no_retry_storm_on_errors(self):
         made = router(3)
         tx = taken(made)
