--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -292,7 +292,8 @@
         errand.passages.append(passage)
         passage.trip = self.caches.send(hop.server, errand.message, until)
         passage.trip.done.addCallback(self.arrived, passage.number).addErrback(self.fault)
-        self.deadlines.at(until, self.patience_due, passage.number)
+        if until < hop.tx.limit or not self.place.terms.may_cancel:     # else it ends with its errand
+            self.deadlines.at(until, self.patience_due, passage.number)
 
     def do_cancel(self, hop):
         """A hop is not waited for any more."""
