A hop cancelled early is no silence; a node behind copies less; dialling is lighter

Checked: clients that leave cancel hops within milliseconds, and four such in a row without an answer between set a cache aside; copies went on while the node itself was behind; opening a connection took 5% of the time in a profile, half of it in the endpoint's wrapping. Lines at fault: Router.hop_ended (any cancelled hop was a silence), take (budget grows whatever the node's state), sockets.connect. A cancelled hop is a silence once it was out for twice what answers take there.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -283,7 +283,7 @@
         tx = Tx(self.terms.profiles[row], tenant, key, mark, since, limit, write)
         tx.twice = self.terms.may_copy and tx.read      # only idempotent reads are ever out twice
         tx.excess = bool(self.tenancies) and self.tenancies[tenant].over(now)
-        if not write:
+        if not write and not self.late(4 * (now - since)):      # copies cost a node that has fallen behind most
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
         self.ready.append(tx)
         self.alarm(limit, tx)
@@ -320,7 +320,7 @@
         elif how in ('spoilt', 'rejected'):
             server.doubt = 0        # it answers, whatever came of that on the way
         elif (how in ('unreachable', 'lost') or how == 'expired' and now >= tx.limit
-              or how == 'cancelled' and hop.dropped):
+              or how == 'cancelled' and hop.dropped and lasted > 2 * server.lag):
             self.unanswered(now, server)
         elif how == 'refused':
             # A full server is crowded, not dead: it gets less until it answers again.
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -9,10 +9,9 @@
 from errno import EMFILE, ENFILE
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import Protocol
 
 from .http import ANSWER, MAX_BODY, BadMessage, Reader, request
-from .sockets import connect, push, quiet
+from .sockets import Outgoing, connect, push, quiet
 from .tables import Table
 
 HELD = 0.125                            # of the node's memory, for answers that are large and still coming
@@ -59,7 +58,7 @@
         self.done.callback((how, answer))
 
 
-class Link(Protocol):
+class Link(Outgoing):
     """One connection to a cache server; it carries one hop at a time."""
 
     def __init__(self, pool):
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -6,11 +6,9 @@
 
 import json
 
-from twisted.internet.protocol import Protocol
-
 from .http import ANSWER, BadMessage, Chunks, Reader
 from .logs import LOG, warn
-from .sockets import connect
+from .sockets import Outgoing, connect
 from .tables import Table
 from ..decode import address, find
 from ..values import STATES, BadLine, up
@@ -45,7 +43,7 @@
     return find(tree, 'generation', int), find(tree, 'reset', bool), [Entry(row) for row in rows]
 
 
-class Watch(Protocol):
+class Watch(Outgoing):
     """One watch, from its request to its end."""
 
     def __init__(self, discovery):
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -8,8 +8,9 @@
 from errno import EAGAIN
 from struct import error, unpack_from
 
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint, connectProtocol
+from twisted.internet.defer import Deferred
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.internet.tcp import Client
 
 LAST_RECEIVED = 52                      # where tcp_info tells when bytes last came, in bytes
@@ -41,10 +42,38 @@
     doIteration = doPoll
 
 
+class Outgoing(Protocol):
+    """One end of a connection that this side opens."""
+
+    up = None                           # fires once the connection is up, or will not come up
+
+    def makeConnection(self, transport):
+        super().makeConnection(transport)
+        self.up.callback(self)
+
+
+class Dial(ClientFactory):
+    """Opens one connection, for a protocol that is there already."""
+
+    noisy = False
+
+    def __init__(self, made):
+        self.made, self.connector = made, None
+        made.up = Deferred(lambda _: self.connector.disconnect())
+
+    def buildProtocol(self, addr):
+        return self.made
+
+    def clientConnectionFailed(self, connector, reason):
+        if not self.made.up.called:     # else it was given up, which ends it in this way too
+            self.made.up.errback(reason)
+
+
 def connect(reactor, address, protocol):
     """Open a connection for this protocol; its Deferred. How long that may take is the caller's to see to."""
-    kind = TCP6ClientEndpoint if ':' in address[0] else TCP4ClientEndpoint
-    return connectProtocol(kind(reactor, *address, timeout=None), protocol)
+    dial = Dial(protocol)
+    dial.connector = reactor.connectTCP(*address, dial, timeout=None)
+    return protocol.up
 
 
 def quiet(transport):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -288,6 +288,15 @@
             decisions.append(made.step(now, tx)[0])
         self.assertEqual(decisions, ['send', 'roll_back'])
 
+    def test_reads_that_lay_at_the_door_add_nothing_to_the_budget_of_copies(self):
+        left = []
+        for now in (625, 626):                  # an eighth of the goal is 625
+            made = router(1)
+            made.copies_left = 0
+            made.take(now, 0, 0, 'k', 20_000, False, 0)
+            left.append(made.copies_left)
+        self.assertEqual((left[0] > 0, left[1]), (True, 0))
+
     def test_no_wake_up_is_asked_for_what_is_over(self):
         made = router(1)
         first, second = taken(made, limit=20_000), taken(made, limit=30_000)
@@ -358,6 +367,16 @@
         made.weigh(10, out(made, taken(made), server), 'error', 10)
         self.assertLess(server.bear, 2)
 
+    def test_a_hop_cancelled_before_an_answer_was_due_is_no_silence(self):
+        doubts = []
+        for lasted in (200, 201):
+            made = router(2)
+            server, hop = made.caches[0], out(made, taken(made), made.caches[0])
+            server.lag, hop.dropped = 100, True
+            made.hop_ended(1000, hop, 'cancelled', lasted, True, 0)
+            doubts.append(server.doubt)
+        self.assertEqual(doubts, [0, 1])
+
     def test_a_lost_connection_tells_nothing_of_load(self):
         made = router(2)
         server, bears, poor = made.caches[0], made.caches[0].bear, made.poor
