Idle connections make way from half of the places on, and go after 2.5 s

Ruled out: module, CPU, the node's own budget, silent connections. Lines at fault: Front.opened (idle ones made way only two places before the last), STAYS (4 s idle).

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -17,9 +17,10 @@
 # here; a request is being answered; it has had its last answer and may close.
 FRESH, RESTING, HALF, ASKED, PARTING = 'fresh', 'resting', 'half', 'asked', 'parting'
 # How long it may stand there; and while nobody is accepted any more, in the order in which they make way.
-STAYS = {FRESH: (15_000, 500), PARTING: (10_000, 1_000), HALF: (24_000, 5_000), RESTING: (40_000, 1_000)}
+STAYS = {FRESH: (15_000, 500), PARTING: (10_000, 1_000), HALF: (24_000, 5_000), RESTING: (25_000, 1_000)}
 LOOK = 1_000                            # between two looks at who has stayed for too long; a tenth while full
-NEARLY = 2                              # descriptors before the last one: some begin to make way
+AMPLE = 0.5                             # part of the budget from which a new connection has an idle one make way
+NEARLY = 2                              # places left when a connection is not kept after its answer
 WRONG = 4                               # requests for what does not exist, until a client's connection ends
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
 
@@ -203,12 +204,13 @@
         client.since = self.clock() if since is None else since
 
     def opened(self, client):
-        """A client has connected. Guards against running out: idle clients make way, or nobody is accepted
-        until one has gone; they wait in the system's queue and lose nothing."""
+        """A client has connected. Guards against clients that ask once and keep their connection, which leaves others,
+        or a front before the node, none to ask on: well before places run out the longest idle makes way. If
+        all are taken nobody is accepted until one has gone; they wait in the system's queue and lose nothing."""
         client.number = self.table.add(client)
         self.came = self.clock()
         self.put(client, FRESH)
-        if len(self.table) >= self.budget - NEARLY:
+        if len(self.table) > self.budget * AMPLE:
             self.make_room(1, True)
         self.see_to_room()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -293,6 +293,14 @@
         self.made.reactor.pump([0.1] * 6)
         self.assertEqual([status(wire) for wire in wires], [408] * 4)
 
+    def test_who_asked_once_and_stays_makes_way_well_before_places_run_out(self):
+        self.front.budget, wires = 32, []
+        for _ in range(20):
+            wires.append(asked(self.made, READY))
+            self.made.reactor.advance(0.15)
+            self.made.reactor.advance(0)
+        self.assertEqual([wire.ended for wire in wires], [True] * 4 + [False] * 16)
+
     def test_idle_clients_do_not_keep_others_out(self):
         self.front.budget = 32                  # two make way at a time
         wires = [asked(self.made, READY) for _ in range(4)]
