Where a node hears a cache seldom, one slow answer shrinks its bound as before

Hundreds of nodes hear from a cache once in seconds: what answers took lately is old news. Lines at fault: Router.weigh. The condition of the wait to expect serves here as well.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -207,12 +207,12 @@
         goals = [profile.goal for profile in terms.profiles]
         self.goal = min(goals)
         self.unit = max(1, self.goal // 32)
-        self.hint = min(terms.max_return, self.goal)    # when who is turned away should come back; 0: not told
+        self.hint = min(terms.max_return, self.goal)    # when to come back if turned away; 0: not told
         self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
         self.caches, self.origin, self.known = [], None, {}
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0   # ready: looked at next
         self.logs, self.idle = deque(), deque()     # idle: servers whose connections may not be worth keeping
-        self.last, self.every = 0, 0                # when the last transaction came, and how often they do
+        self.last, self.every, self.often = 0, 0, True  # the last transaction; how far apart; whether close
         self.copies_left = 1.0
         self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
         # When the caches were surveyed; the most that warm ones served in a window, a weight; what all bear.
@@ -279,11 +279,12 @@
     def take(self, now, row, tenant, key, limit, write, since):
         """A transaction arrives, since then at the node's door; one final answer is owed from here on."""
         self.last, self.every = now, (7 * self.every + now - self.last) / 8 if self.last else 0
+        self.often = 3 * self.every * len(self.caches) <= 2 * self.goal
         mark = crc32(key.encode()) if key is not None else int(self.chance() * (1 << 32))
         tx = Tx(self.terms.profiles[row], tenant, key, mark, since, limit, write)
         tx.twice = self.terms.may_copy and tx.read      # only idempotent reads are ever out twice
         tx.excess = bool(self.tenancies) and self.tenancies[tenant].over(now)
-        if not write and not self.late(4 * (now - since)):      # copies cost a node that has fallen behind most
+        if not write and not self.late(4 * (now - since)):      # copies cost a node that is behind most
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
         self.ready.append(tx)
         self.alarm(limit, tx)
@@ -355,8 +356,8 @@
 
     def weigh(self, now, hop, how, lasted):
         """Guards against a server given more than it can do: what it bears grows by one a round of quick
-        answers and shrinks by a quarter, once a round, when they take over a third of the goal, this one and
-        those lately: crowded caches slow down and stay so. An origin's take longer: there it is the goal."""
+        answers and shrinks by a quarter, once a round, when they take over a third of the goal (an origin's
+        the goal), this one and, where a node hears often, those lately: crowded caches stay crowded."""
         server = hop.server
         most = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         answered = how in ('committed', 'missing')
@@ -369,7 +370,7 @@
             if server.out + 1 >= server.bear / 2:
                 server.bear += 1 / server.bear
         elif hop.sent >= server.eased and how != 'unsent' and (
-                min(lasted, server.lag) >= most or how in ('refused', 'error')):
+                (min(lasted, server.lag) if self.often else lasted) >= most or how in ('refused', 'error')):
             if server.bear == 1:
                 # One hop from each node keeps a jammed server jammed: let it drain, then trickle back.
                 self.halve(now, server)
@@ -402,8 +403,7 @@
         less and less, down to a trickle at two thirds; what is beyond a tenant's share goes first. With one
         hop of each node out, answers take as long as a node's hops lie apart: under that the bound does, save
         in a jam behind the caches, as of their origin: that needs less than a hop a node."""
-        alone = 3 * self.every * len(self.caches) <= 2 * self.goal and self.strain() < STRAIN
-        if alone and not server.origin:
+        if self.often and self.strain() < STRAIN and not server.origin:
             return True
         part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
         return drawn < (1 - 2 * part if tx.excess else max(FLOOR, 2 - part))
@@ -530,7 +530,7 @@
         return self.step_read(now, tx, False)
 
     def late(self, waited):
-        """Whether what waited so long at the door is turned away: the node cannot keep up, all would be late."""
+        """Whether what waited so long at the door is turned away: the node is behind, all would be late."""
         return 2 * waited > self.goal
 
     def patience(self, tx):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -400,6 +400,12 @@
             seen.append(server.bear)
         self.assertEqual((seen[0] >= 32, seen[-1] < 2), (True, True))
 
+    def test_where_a_node_hears_seldom_one_slow_answer_shrinks_what_a_server_bears(self):
+        made = router(2)
+        hop, made.often = out(made, taken(made), made.caches[0]), False
+        made.hop_ended(4000, hop, 'committed', 4000, True, 0)
+        self.assertLess(made.caches[0].bear, 2)
+
 
 class Connections(unittest.TestCase):
     def closed(self, nodes, every):
@@ -454,7 +460,7 @@
     def test_many_nodes_send_less_as_the_expected_wait_grows(self):
         """No node has a hop out, yet all caches are jammed by the sum of them."""
         made = router(3)
-        made.every, tx, sent = made.goal, taken(made), []
+        tx, sent, made.often = taken(made), [], False
         for made.lag in (made.goal // 4, made.goal // 2, made.goal):
             made.caches[0].lag = made.lag
             sent.append(sum(made.welcome(0, tx, made.caches[0], turn / 100) for turn in range(100)))
@@ -475,7 +481,7 @@
 
     def test_excess_is_gone_before_what_is_within_share_gives_way(self):
         made = router(3)
-        made.every, tx, tx2 = made.goal, taken(made), taken(made)
+        tx, tx2, made.often = taken(made), taken(made), False
         made.lag = made.caches[0].lag = made.goal // 6
         tx2.excess = True
         self.assertEqual([made.welcome(0, one, made.caches[0], 0.01) for one in (tx, tx2)], [True, False])
