--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -326,7 +326,7 @@
 
     def do_close(self, server):
         """Idle connections are not kept."""
-        if server.name in self.router.known:    # else it went meanwhile, and its connections with it
+        if server in self.caches.pools:         # else it went meanwhile, and its connections with it
             self.caches.pools[server].close_idle()
 
     def do_wake(self, when):
