--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -1,7 +1,8 @@
 """What the node asks of connections beneath its protocols.
 
-Owns the few calls that go past Twisted's transports, and how an address becomes an endpoint. Must never read
-what a protocol is to read, keep state, or know whose connection it is.
+Owns the few calls that go past Twisted's transports, how a connection is opened, who is let in, and in which
+order what came is read. Must never know what a message says, or decide: whether somebody has waited for too
+long is the module's word.
 """
 
 import socket
