One place where a hop is put down; closing idle clients asks what overdue does

Read through once more. Link kept the end of a hop in three places (release, finish, the kept answer); put_down is the one now. Link.left has two values since bytes go out at once, so its third is not tested for any more. Front.close_idle repeated Client.overdue. Behaviour and tests unchanged.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -111,13 +111,11 @@
             return
         if not answer:
             return
-        if self.left and answer.lasting and not self.reader.begun:
-            self.release()
-            trip, self.trip = self.trip, None
+        kept = self.left and answer.lasting and not self.reader.begun
+        if kept:
             self.pool.rest(self)
-            trip.over(ending(answer), answer)
-        else:
-            self.finish(ending(answer), answer)
+        self.finish(ending(answer), answer)
+        if not kept:
             self.close()
 
     def hold(self):
@@ -130,31 +128,30 @@
             if caches.held > caches.most:
                 raise BadMessage(413, 'no memory for an answer of %d bytes' % self.held)
 
-    def release(self):
-        """The answer is here, or does not come."""
+    def put_down(self):
+        """Nothing is carried any more, and no memory set aside for its answer; the hop that was."""
         self.pool.caches.held -= self.held
         self.held = 0
+        trip, self.trip = self.trip, None
+        return trip
 
     def finish(self, how, answer=None):
         """End the hop that is on it."""
-        self.release()
-        trip, self.trip = self.trip, None
-        trip.over(how, answer)
+        self.put_down().over(how, answer)
 
     def give_up(self):
         """The hop is not waited for."""
-        self.release()
-        self.trip = None
+        self.put_down()
         self.close()
 
     def close(self):
         """End the connection at once; what was not sent is not. Its place counts as free from here on, as
         another hop may wait for that: the descriptor itself goes within a turn of the reactor."""
         self.pool.forget(self)
-        if self.left is False:
-            self.transport.abortConnection()
-        else:
+        if self.left:
             self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
 
     def connectionLost(self, reason=None):
         self.pool.forget(self)
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -270,8 +270,7 @@
     def close_idle(self):
         """Ask clients between requests to go."""
         for client in [*self.phases[FRESH].values(), *self.phases[RESTING].values()]:
-            if quiet(client.transport):
-                client.part()
+            client.overdue()
 
     def requested(self, client, message):
         """A whole request: to the node, or answered here."""
