Lab: real nodes on a simulated kernel, with stand-ins of clients, caches and discovery

Change: net/system.py is the seam's real home; lab/network.py simulates sockets beneath Twisted's own transports, so net/ runs on it unchanged.

--- /dev/null
+++ b/lilacdyke/lab/faults.py
@@ -0,0 +1,328 @@
+"""Troubles: what each kind of event does to the parts of a run, and how it is taken back.
+
+Owns the timeline. Those that need the network or a machine's clock exist only on simulated ground; elsewhere they are
+left out and said so. Must never know how nodes are built, nor tell them anything.
+"""
+
+from .scenario import TARGETS, Kind
+
+NETWORK = ('cut', 'delay', 'resets', 'dribble', 'deaf', 'clock', 'step', 'descriptors', 'vanish')
+
+
+class Faults:
+    """Plays a scenario's events on a stage."""
+
+    def __init__(self, stage):
+        self.stage, self.left_out = stage, []
+
+    def begin(self):
+        """Hang up all events."""
+        for index, event in enumerate(self.stage.scenario.events):
+            if event.kind in NETWORK and not self.stage.ground.simulated:
+                self.left_out.append(event.kind)
+                continue
+            self.stage.later(int(event.at_s * 1e6), self.play, index, event)
+
+    def targets(self, event, chance):
+        """The numbers it meets: those named, or drawn from those there are."""
+        if event.what:
+            return list(event.what)
+        stage, kind = self.stage, TARGETS.get(event.kind)
+        if kind == 'node':
+            pool = [place.number for place in stage.places]
+        elif kind == 'zone':
+            pool = list(range(len(stage.zones)))
+        else:
+            pool = [server.number for server in self.caches()]
+        return sorted(chance.sample(pool, min(event.count, len(pool))))
+
+    def caches(self):
+        """The cache servers at work."""
+        return [server for server in self.stage.servers.values() if not server.model.origin]
+
+    def play(self, index, event):
+        """One event begins."""
+        if self.stage.closing:
+            return
+        stage, chance = self.stage, self.stage.chance('event %d' % index)
+        what = self.targets(event, chance) if event.kind in TARGETS else []
+        span = int(event.for_s * 1e6)
+        stage.see('fault', event.kind, ','.join(map(str, what)), stage.clock() + span)
+        getattr(self, 'do_' + event.kind)(index, event, what, span, chance)
+
+    def numbered(self, what):
+        """Servers by number, those still there."""
+        return [server for server in self.stage.servers.values() if server.number in what]
+
+    # --- cache servers ----------------------------------------------------------------------------------
+
+    def set(self, things, field, value, back, span):
+        """Set a field of each, and put it back in time."""
+        for thing in things:
+            setattr(thing, field, value)
+        self.stage.later(span, lambda: [setattr(thing, field, back) for thing in things])
+
+    def do_slow(self, index, event, what, span, chance):
+        self.set([server.model for server in self.numbered(what)], 'slow', event.size, 1.0, span)
+
+    def do_fetch_slow(self, index, event, what, span, chance):
+        self.set([self.stage.fleet.origin], 'slow', event.size, 1.0, span)
+
+    def do_hung(self, index, event, what, span, chance):
+        models = [server.model for server in self.numbered(what)]
+        for model in models:
+            model.hung = True
+        self.stage.later(span, lambda: [model.thaw() for model in models])
+
+    def do_garbled(self, index, event, what, span, chance):
+        self.set(self.numbered(what), 'garbled', min(1.0, event.size / 10), 0.0, span)
+
+    def do_halved(self, index, event, what, span, chance):
+        self.set(self.numbered(what), 'halved', min(1.0, event.size / 10), 0.0, span)
+
+    def do_extra(self, index, event, what, span, chance):
+        self.set(self.numbered(what), 'extra', min(1.0, event.size / 10), 0.0, span)
+
+    def do_crash(self, index, event, what, span, chance):
+        """The process dies and comes back cold."""
+        for server in self.numbered(what):
+            if server.port is not None:
+                server.close('crashed')
+                self.stage.later(span, server.restart)
+
+    def do_refuse(self, index, event, what, span, chance):
+        """Its port is closed for a while; connections that are open go on."""
+        for server in self.numbered(what):
+            if server.port is not None:
+                server.port.stopListening()
+                server.port = None
+                self.stage.later(span, self.reopen, server)
+
+    def reopen(self, server):
+        if server.port is None and not self.stage.closing and self.stage.at_work(server.name):
+            server.port = self.stage.listen(server, server.address)
+
+    def do_miss(self, index, event, what, span, chance):
+        """Kept values go void all over."""
+        for server in self.caches():
+            for key in list(server.model.kept):
+                if chance.random() < min(1.0, event.size / 10):
+                    server.model.void(key)
+
+    def do_drain(self, index, event, what, span, chance):
+        """They drain, go, and do not come back."""
+        for server in self.numbered(what):
+            self.drain(server, span)
+
+    def drain(self, server, span):
+        if server.model.draining or not self.stage.at_work(server.name):
+            return
+        self.stage.roster.put(server.name, 'draining')
+        self.stage.later(span, self.gone, server)
+
+    def gone(self, server):
+        if self.stage.at_work(server.name):
+            server.model.draining = True
+            self.stage.roster.put(server.name, 'gone')
+            self.stage.later(1_500_000, self.remove, server)
+
+    def remove(self, server):
+        del self.stage.servers[server.name]
+        self.stage.fleet.servers.pop(server.name, None)
+        server.close('gone')
+
+    def join(self, like, same_address=False):
+        """A new server, cold, in place of one."""
+        stage = self.stage
+        name = 'c%d' % stage.made
+        stage.made += 1
+        model = like.model
+        kind = Kind(name=model.kind, count=1, cores=model.cores, speed=model.speed, queue=model.queue_limit,
+                    keeps=model.keeps, connections=min(like.cap, 100_000))
+        address = like.address if same_address else (stage.spot(2, stage.made + 5), 8000)
+        made = stage.add_server(name, kind, model.zone, model.cell, stage.clock(), address=address)
+        made.number = like.number
+        made.open()
+        stage.roster.put(name, 'ready')
+
+    def do_replace(self, index, event, what, span, chance):
+        """Each goes without a drain, and a successor under a new name comes up at its address, cold."""
+        for server in self.numbered(what):
+            if self.stage.at_work(server.name):
+                self.stage.roster.put(server.name, 'gone')
+                self.remove(server)
+                self.join(server, same_address=True)
+
+    def do_deploy(self, index, event, what, span, chance):
+        """A rolling deploy: a part of the fleet (size in tenths), `count` at a time, over the span."""
+        all_ = sorted(self.caches(), key=lambda server: server.number)
+        picked = all_[:max(1, int(len(all_) * min(10, event.size) / 10))]
+        batches = [picked[at:at + event.count] for at in range(0, len(picked), event.count)]
+        for number, batch in enumerate(batches):
+            self.stage.later(span * number // len(batches) + 1, self.roll, batch, max(1_000_000, span // len(batches)))
+
+    def roll(self, batch, span):
+        for server in batch:
+            if self.stage.at_work(server.name):
+                self.join(server)
+                self.drain(server, span)
+
+    def do_shrink(self, index, event, what, span, chance):
+        """The fleet shrinks by a part (size in tenths), evenly over the span."""
+        all_ = sorted(self.caches(), key=lambda server: server.number)
+        leaving = all_[len(all_) - min(len(all_) - 1, int(len(all_) * event.size / 10)):]
+        for number, server in enumerate(leaving):
+            self.stage.later(span * number // max(1, len(leaving)) + 1, self.drain, server, 2_000_000)
+
+    # --- network ----------------------------------------------------------------------------------------
+
+    @property
+    def network(self):
+        return self.stage.ground.network
+
+    def do_cut(self, index, event, what, span, chance):
+        """Sites are cut off from the others, without a word; each is whole within."""
+        for number in what:
+            zone = self.stage.zones[number]
+            apart = {host for host, (role, where, _) in self.stage.hosts.items()
+                     if where == zone and role in ('server', 'node', 'agent', 'client')}
+            self.network.cut((index, number), apart)
+            self.stage.later(span, self.network.mend, (index, number))
+
+    def do_vanish(self, index, event, what, span, chance):
+        """Machines are gone without a word, and come back cold."""
+        for server in self.numbered(what):
+            host = server.address[0]
+            self.network.vanish(host)
+            self.stage.later(span - 1, server.close, 'vanished')
+            self.stage.later(span, self.network.restore, host)
+            self.stage.later(span, server.restart)
+
+    def do_delay(self, index, event, what, span, chance):
+        """Bytes to and from them travel longer: size in milliseconds."""
+        slower = self.stage.ground.slower
+        hosts = [server.address[0] for server in self.numbered(what)]
+        for host in hosts:
+            slower[host] = int(event.size * 1_000)
+        self.stage.later(span, lambda: [slower.pop(host, None) for host in hosts])
+
+    def do_resets(self, index, event, what, span, chance):
+        """Connections to them are reset at any byte: size in hundredths a message."""
+        hosts = [server.address[0] for server in self.numbered(what)]
+        for host in hosts:
+            self.network.resets[host] = (min(1.0, event.size / 100), chance)
+        self.stage.later(span, lambda: [self.network.resets.pop(host, None) for host in hosts])
+
+    def do_dribble(self, index, event, what, span, chance):
+        """The nodes' system takes few bytes of each send."""
+        taken = [self.stage.places[number].running for number in what]
+        processes = [running.process for running in taken if running is not None]
+        for process in processes:
+            self.network.stuck[process] = max(1, int(event.size * 10))
+        self.stage.later(span, lambda: [self.network.stuck.pop(process, None) for process in processes])
+
+    def do_deaf(self, index, event, what, span, chance):
+        """Full accept queues: connects to these servers are not answered."""
+        hosts = [server.address[0] for server in self.numbered(what)]
+        self.network.deaf.update(hosts)
+        self.stage.later(span, lambda: self.network.deaf.difference_update(hosts))
+
+    # --- nodes ------------------------------------------------------------------------------------------
+
+    def places(self, what):
+        return [self.stage.places[number] for number in what]
+
+    def do_kill(self, index, event, what, span, chance):
+        """SIGKILL, and back after the span with its list of that time, which is old by then."""
+        for place in self.places(what):
+            self.stage.kill_node(place)
+            self.stage.later(max(1, span), self.stage.start_node, place)
+
+    def do_term(self, index, event, what, span, chance):
+        """SIGTERM, and back after it has gone."""
+        for place in self.places(what):
+            self.stage.term_node(place)
+            self.stage.later(span, self.back, place)
+
+    def back(self, place):
+        if place.running is None:
+            self.stage.start_node(place)
+        elif not self.stage.closing:
+            self.stage.later(250_000, self.back, place)
+
+    def do_hup(self, index, event, what, span, chance):
+        """SIGHUP with a page that names another address of discovery."""
+        stage = self.stage
+        for place in self.places(what):
+            if place.running is not None and not place.running.leaving:
+                stage.moves += 1
+                agent = stage.agents[place.number]
+                host = stage.spot(5, stage.moves)
+                stage.hosts[host] = ('agent', place.zone, place.name)
+                agent.move((host, agent.address[1]))
+                place.running.hup(stage.page(place))
+
+    def do_standstill(self, index, event, what, span, chance):
+        """The process stands still; the system beneath it does not."""
+        for place in self.places(what):
+            if place.running is not None:
+                place.running.freeze(span)
+
+    def do_clock(self, index, event, what, span, chance):
+        """The machine's clock runs at `size` times the rate of the world's, by at most a part in five."""
+        rate = min(1.2, max(0.8, event.size))
+        for place in self.places(what):
+            running = place.running
+            if running is not None:
+                running.reactor.drift(rate)
+                self.stage.later(span, running.reactor.drift, 1.0)
+
+    def do_step(self, index, event, what, span, chance):
+        """Its wall clock is stepped: so many seconds ahead."""
+        for place in self.places(what):
+            if place.running is not None:
+                place.running.system.ahead += event.size
+
+    def do_descriptors(self, index, event, what, span, chance):
+        """Something else in the process holds all descriptors but a few."""
+        for place in self.places(what):
+            if place.running is not None:
+                process = place.running.process
+                usual = process.limit
+                process.limit = len(process.open) + int(event.size)
+                self.stage.later(span, setattr, process, 'limit', usual)
+
+    # --- clients ----------------------------------------------------------------------------------------
+
+    def do_burst(self, index, event, what, span, chance):
+        self.set([self.stage.crowd], 'factor', event.size, 1.0, span)
+
+    def do_hot(self, index, event, what, span, chance):
+        """`count` keys draw a part of all asked: size in hundredths."""
+        self.set([self.stage.crowd], 'hot', (event.count, min(1.0, event.size / 100)), None, span)
+
+    # --- discovery --------------------------------------------------------------------------------------
+
+    def agents(self, what):
+        return [self.stage.agents[number] for number in what]
+
+    def do_silence(self, index, event, what, span, chance):
+        for agent in self.agents(what):
+            agent.hush(True)
+            self.stage.later(span, agent.hush, False)
+
+    def do_lag(self, index, event, what, span, chance):
+        """The list runs further behind, everywhere: size in seconds."""
+        self.set(self.stage.agents, 'lag', int(event.size * 1e6), 0, span)
+
+    def do_stale(self, index, event, what, span, chance):
+        """One agent's list runs behind."""
+        self.set(self.agents(what), 'lag', int(event.size * 1e6), 0, span)
+
+    def do_cut_watch(self, index, event, what, span, chance):
+        for agent in self.agents(what):
+            agent.cut(False)
+
+    def do_half_line(self, index, event, what, span, chance):
+        for agent in self.agents(what):
+            agent.cut(True)
--- /dev/null
+++ b/lilacdyke/lab/ground.py
@@ -0,0 +1,202 @@
+"""Simulated ground: node processes, the stand-ins' one, and the network between them, all in one real process.
+
+The seam's second home: what net/system.py asks of the machine is answered here from the simulated one. Owns the wiring
+of world, network and reactors. Must never let real time or real sockets into a run.
+"""
+
+import json
+import logging
+import os
+import re
+import tempfile
+
+from twisted.logger import globalLogBeginner
+
+from .network import Network, Process
+from .reactor import SimReactor
+from .stage import EPOCH_MS, Stage
+from .world import World
+from ..decode import page
+from ..net.node import Node
+
+LOCAL = 40                              # to the agent on the same machine, microseconds
+ADDRESS = re.compile(r'0x[0-9a-f]+')
+
+
+class Machine:
+    """What a simulated node is told of its machine; as net/system.System."""
+
+    def __init__(self, reactor, process):
+        self.elapsed, self.process, self.ahead = reactor.seconds, process, 0.0
+        self.world = reactor.world
+
+    def wall(self):
+        """Unix time, with what its clock was stepped by."""
+        return EPOCH_MS / 1_000 + self.world.now / 1e6 + self.ahead
+
+    def descriptors(self):
+        return self.process.limit if self.process.limit < 1 << 29 else 0
+
+    @staticmethod
+    def memory_kb():
+        """Not simulated."""
+        return 0
+
+
+class Running:
+    """One node process."""
+
+    def __init__(self, ground, place, text):
+        self.ground, self.place, self.leaving = ground, place, False
+        self.path = os.path.join(ground.folder, place.name + '.json')
+        limits = ground.scenario.limits
+        self.process = Process(ground.network, place.name, place.address[0], limits.sockets)
+        self.reactor = SimReactor(ground.world, self.process, self.ended, (limits.turn_us, limits.event_us))
+        self.system = Machine(self.reactor, self.process)
+        self.write(text)
+        before, ground.world.current = ground.world.current, self.reactor
+        self.node = Node(page(self.path), self.reactor, self.system)
+        self.node.start()
+        ground.world.current = before
+
+    def write(self, tree):
+        with open(self.path, 'w', encoding='utf-8') as file:
+            json.dump(tree, file)
+
+    def term(self):
+        self.reactor.callFromThread(self.node.drain)
+
+    def hup(self, tree):
+        self.write(tree)
+        self.reactor.callFromThread(self.node.reread, self.path)
+
+    def kill(self):
+        self.ground.stage.see('counters', self.place.name, self.counts())
+        self.reactor.kill()
+
+    def freeze(self, span):
+        self.reactor.freeze(self.ground.world.now + span)
+
+    def counts(self):
+        """What the node counted, and what it still holds."""
+        node = self.node
+        return dict(sorted(node.counts.items()), open=len(node.errands), out=len(node.passages),
+                    clients=len(node.front.table), links=node.caches.open, descriptors=len(self.process.open),
+                    most=self.process.most, waits=sum(len(pool.waiting) for pool in node.caches.pools.values()),
+                    hops=sum(server.out for server in node.router.known.values()))
+
+    def ended(self):
+        """It stopped by itself."""
+        self.ground.stage.exited(self.place, self.counts())
+
+
+class Watcher(logging.Handler):
+    """What nodes log as errors, by node."""
+
+    def __init__(self, ground):
+        super().__init__(logging.ERROR)
+        self.ground = ground
+
+    def emit(self, record):
+        text = record.getMessage()
+        if record.exc_info and record.exc_info[1] is not None:
+            text += ': %s: %s' % (type(record.exc_info[1]).__name__, record.exc_info[1])
+        self.ground.error(text)
+
+
+class Ground:
+    """The simulated one."""
+
+    simulated, epoch_ms = True, EPOCH_MS
+
+    def __init__(self, scenario, seed):
+        self.scenario, self.world = scenario, World(seed)
+        self.later, self.drop, self.chance = self.world.later, self.world.cancel, self.world.chance
+        self.slower, self.bases = {}, {}
+        self.jitter, self.spread = self.chance('network').random, scenario.net.jitter
+        self.network = Network(self.world, self.delay)
+        self.rig = SimReactor(self.world, Process(self.network, 'rig', '127.9.0.1'), cost=(0, 0))
+        self.stage, self.folder = None, None
+
+    def clock(self):
+        return self.world.now
+
+    def delay(self, here, there):
+        """How long bytes travel, microseconds."""
+        base = self.bases.get((here, there))
+        if base is None:
+            base = self.bases[here, there] = self.base(here, there)
+        wait = base * (1 + self.spread * (2 * self.jitter() - 1))
+        if self.slower:
+            wait += self.slower.get(here, 0) + self.slower.get(there, 0)
+        return int(wait) + 1
+
+    def base(self, here, there):
+        hosts, net = self.stage.hosts, self.scenario.net
+        one, other = hosts.get(here, ('', '', '')), hosts.get(there, ('', '', ''))
+        if 'agent' in (one[0], other[0]):
+            return LOCAL
+        if 'client' in (one[0], other[0]):
+            return net.client_ms * 1_000
+        return (net.same_ms if one[1] == other[1] else net.cross_ms) * 1_000
+
+    def listen(self, factory, address):
+        return self.rig.listenTCP(address[1], factory, 1024, address[0])
+
+    def connect(self, address, factory, bind):
+        self.rig.connectTCP(*address, factory, timeout=None, bindAddress=bind)
+
+    def start_node(self, place, text):
+        return Running(self, place, text)
+
+    def error(self, text):
+        """A fault that somebody logged."""
+        current = self.world.current
+        name = current.process.name if current is not None else 'lab'
+        self.stage.see('error', name, ADDRESS.sub('0x', text)[:300])
+
+
+_BEGUN = []
+
+
+def observe(event):
+    """Twisted's log: only failures matter."""
+    if event.get('log_failure') is not None and _BEGUN:
+        failure = event['log_failure']
+        _BEGUN[-1].error('raised: %s: %s' % (failure.type.__name__, failure.value))
+
+
+def play(scenario, seed, patch=None, progress=None):
+    """Play a scenario on simulated ground; its Stage, with all that was seen. patch: called with the ground before
+    anything is built; progress: called with the part of the run that is over."""
+    if not _BEGUN:
+        globalLogBeginner.beginLoggingTo([observe], discardBuffer=True, redirectStandardIO=False)
+    log, ground = logging.getLogger('lilacdyke'), Ground(scenario, seed)
+    handler, level, spreads = Watcher(ground), log.level, log.propagate
+    log.addHandler(handler)
+    log.propagate = False
+    log.setLevel(logging.ERROR)
+    _BEGUN.append(ground)
+    try:
+        with tempfile.TemporaryDirectory() as ground.folder:
+            if patch is not None:
+                patch(ground)
+            ground.stage = stage = Stage(scenario, seed, ground)
+            stop, leave, end = stage.spans
+            ground.later(stop, stage.stop_clients)
+            ground.later(leave, stage.finish)
+            stage.begin()
+            for step in range(1, 51):
+                ground.world.run(end * step // 50)
+                if progress is not None:
+                    progress(step / 50)
+            for place in stage.places:
+                if place.running is not None:
+                    stage.see('node', place.name, 'hangs')
+                    stage.see('counters', place.name, place.running.counts())
+    finally:
+        _BEGUN.pop()
+        log.removeHandler(handler)
+        log.propagate = spreads
+        log.setLevel(level)
+    return stage
--- /dev/null
+++ b/lilacdyke/lab/parts/discovery.py
@@ -0,0 +1,199 @@
+"""Discovery: the roster and its changes, and an agent on each node's machine that tells them late.
+
+Owns versions, lags and watches. What an agent has written to a node, or should have at the latest, counts as told.
+Must never tell a change before the ones that came ahead of it.
+"""
+
+import json
+
+from twisted.internet.protocol import Factory
+
+from .wire import Talker, answer
+
+LIFE = {'ready': 'SERVING', 'draining': 'DRAINING', 'gone': 'DELETED'}
+
+
+class Roster:
+    """All servers as they are, and the log of changes."""
+
+    def __init__(self, stage):
+        self.stage, self.rows, self.version, self.agents = stage, {}, 1, []
+        self.chance = stage.chance('roster')
+
+    def put(self, name, state, quiet=False, **fields):
+        """A server has changed; agents learn it each in their time."""
+        self.version += 1
+        row = dict(self.rows.get(name, {}), name=name, state=state, **fields)
+        if state == 'gone':
+            self.rows.pop(name, None)
+        else:
+            self.rows[name] = row
+        for agent in self.agents:
+            agent.learn(self.version, row, quiet)
+
+    def restarted(self, name, started):
+        if name in self.rows:
+            self.put(name, 'ready', started=started)
+
+    def whole(self):
+        """A copy of the list."""
+        return {name: dict(row) for name, row in self.rows.items()}
+
+
+class Agent(Factory):
+    """One node's agent: it knows the list up to a version and tells it."""
+
+    noisy = False
+
+    def __init__(self, stage, node, address):
+        self.stage, self.node, self.address, self.port = stage, node, address, None
+        self.roster = stage.roster
+        self.rows, self.version = self.roster.whole(), self.roster.version
+        self.coming, self.ready_at = [], 0      # changes on their way here, in order
+        self.log = []                           # (version, row) of changes known here
+        self.watches, self.silent, self.lag, self.half = {}, False, 0, False
+        self.chance = stage.chance('agent ' + node)
+        self.roster.agents.append(self)
+        self.beating = False
+
+    def buildProtocol(self, addr):
+        return Ask(self)
+
+    def open(self):
+        self.port = self.stage.listen(self, self.address)
+        if not self.beating:
+            self.beating = True
+            self.beat()
+
+    def move(self, address):
+        """The agent is elsewhere: the old address takes nobody new, and closes the open ones in a while."""
+        if self.port is not None:
+            self.port.stopListening()
+        old, self.address = list(self.watches), address
+        self.port = self.stage.listen(self, address)
+        self.stage.later(1_500_000, lambda: [watch.transport.loseConnection() for watch in old if watch.up])
+
+    # --- what it knows ----------------------------------------------------------------------------------
+
+    def learn(self, version, row, quiet):
+        """A change is on its way."""
+        low, high = self.stage.scenario.discovery.lag_s
+        now = self.stage.clock()
+        wait = 0 if quiet else int((low + (high - low) * self.chance.random()) * 1e6) + self.lag
+        self.ready_at = max(now + wait, self.ready_at)
+        if self.ready_at <= now:
+            self.know(version, row)
+        else:
+            self.stage.later(self.ready_at - now, self.know, version, row)
+
+    def know(self, version, row):
+        """It is here, and goes out on the watches."""
+        self.stage.see('due', self.node, row['name'], row['state'])
+        self.version = version
+        if row['state'] == 'gone':
+            self.rows.pop(row['name'], None)
+        else:
+            self.rows[row['name']] = row
+        self.log.append((version, row))
+        if len(self.log) > 5_000:
+            del self.log[:2_500]
+        if not self.silent:
+            for watch in list(self.watches):
+                watch.tell()
+
+    def entry(self, row):
+        started = row['started']
+        return {'instanceId': row['name'], 'hostPort': row['address'], 'zone': row['zone'], 'machineType': row['kind'],
+                'cell': row['cell'], 'lifecycle': LIFE[row['state']], 'weight': row['weight'],
+                'startedAtMs': self.stage.unix_ms(started) if started else 0}
+
+    def page(self):
+        """The whole list as it knows it."""
+        return {'generation': self.version, 'reset': True, 'instances': [self.entry(row) for row in self.rows.values()]}
+
+    def since(self, version):
+        """What changed after a version, or the whole list."""
+        if version is None or version > self.version or self.log and version < self.log[0][0] - 1 or (
+                not self.log and version != self.version):
+            return self.page()
+        latest = {}
+        for at, row in self.log:
+            if at > version:
+                latest.pop(row['name'], None)
+                latest[row['name']] = row
+        return {'generation': self.version, 'reset': False, 'instances': [self.entry(row) for row in latest.values()]}
+
+    def beat(self):
+        """An empty line now and then."""
+        if not self.silent:
+            for watch in list(self.watches):
+                watch.write(b'\n')
+        self.stage.later(int(self.stage.scenario.discovery.beat_s * 1e6), self.beat)
+
+    def hush(self, on):
+        """Discovery is down, or back."""
+        self.silent = on
+        if not on:
+            for watch in list(self.watches):
+                watch.tell()
+
+    def cut(self, half):
+        """Watches end, in the middle of a line if asked."""
+        for watch in list(self.watches):
+            if half and watch.up:
+                watch.write(b'{"generation":%d,"reset":false,"instances":[{"inst' % (self.version + 1))
+            watch.transport.loseConnection()
+
+
+class Ask(Talker):
+    """A node's connection to its agent."""
+
+    def __init__(self, agent):
+        super().__init__()
+        self.agent, self.at, self.watching = agent, None, False
+
+    def clock(self):
+        return self.agent.stage.clock()
+
+    def message(self, begun, words, fields, body):
+        path, _, query = words[1].partition('?')
+        asked = dict(pair.partition('=')[::2] for pair in query.split('&') if pair)
+        if path != '/v1/endpoints':
+            self.put(answer(404))
+        elif asked.get('stream') != '1':
+            self.told(self.agent.page())
+            self.put(answer(200, json.dumps(self.agent.page()).encode()))
+        elif self.agent.silent:
+            self.agent.watches[self] = None     # it answers once it is back
+            self.at = int(asked['index']) if 'index' in asked else None
+        else:
+            self.agent.watches[self] = None
+            self.at = int(asked['index']) if 'index' in asked else None
+            self.tell()
+
+    def tell(self):
+        """All that this watch has not been told."""
+        if not self.watching:
+            self.watching = True
+            self.put(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+        elif self.at == self.agent.version:
+            return
+        page = self.agent.since(self.at)
+        self.at = self.agent.version
+        self.told(page)
+        self.write(json.dumps(page).encode() + b'\n')
+
+    def told(self, page):
+        see, node = self.agent.stage.see, self.agent.node
+        states = {value: key for key, value in LIFE.items()}
+        if page['reset']:
+            see('told', node, '*', ','.join(row['instanceId'] for row in page['instances']))
+        for row in page['instances']:
+            see('told', node, row['instanceId'], states[row['lifecycle']])
+
+    def write(self, data):
+        if self.watching:
+            self.put(b'%x\r\n%s\r\n' % (len(data), data))
+
+    def ended(self):
+        self.agent.watches.pop(self, None)
--- /dev/null
+++ b/lilacdyke/lab/stage.py
@@ -0,0 +1,238 @@
+"""What is played: the parts of one run, put together from a scenario on either ground.
+
+Owns names, addresses, zones, and the run's beginning and end. The ground (ground.py simulated, loopback.py real) gives
+the clock, timers, ports, connections and node processes. Must never decide for a node.
+"""
+
+from math import log1p
+
+from .faults import Faults
+from .parts.clients import Crowd
+from .parts.discovery import Agent, Roster
+from .parts.model import Fleet, Model
+from .parts.servers import CacheServer
+from .scenario import Kind
+from .witness import Witness
+
+PORT, ASK = 8000, 8500
+EPOCH_MS = 1_700_000_000_000            # simulated runs begin then
+SETTLE = 600_000                        # from the start to the first client, microseconds
+
+
+class Place:
+    """A node's place in the run: its address, its zone, and whether clients come to it."""
+
+    def __init__(self, number, zone, address, agent):
+        self.number, self.name, self.zone, self.address, self.agent = number, 'n%d' % number, zone, address, agent
+        self.open, self.running = False, None           # open: the front sends clients here
+
+
+class Stage:
+    """One run's parts. ground: see the two homes."""
+
+    log1p = staticmethod(log1p)
+
+    def __init__(self, scenario, seed, ground):
+        self.scenario, self.seed, self.ground = scenario, seed, ground
+        self.clock, self.later, self.drop = ground.clock, ground.later, ground.drop
+        self.listen, self.connect, self.chance = ground.listen, ground.connect, ground.chance
+        self.witness = Witness(ground.clock)
+        self.see = self.witness.see
+        self.profiles = {profile.name: profile for profile in scenario.profiles}
+        self.asked, self.bodies, self.numbers = {}, {}, 0
+        self.fleet, self.roster = Fleet(), Roster(self)
+        self.servers, self.places, self.agents, self.hosts = {}, [], [], {}
+        self.closing, self.made, self.moves = False, 0, 0
+        self.zones = [chr(97 + zone % 26) + str(zone // 26 or '') for zone in range(scenario.zones)]
+        self.build()
+        self.crowd = Crowd(self)
+        self.faults = Faults(self)
+
+    def number(self):
+        self.numbers += 1
+        return self.numbers
+
+    def unix_ms(self, when):
+        """A time of the run as Unix milliseconds."""
+        return self.ground.epoch_ms + when // 1_000
+
+    # --- building ---------------------------------------------------------------------------------------
+
+    def build(self):
+        """All servers, agents and nodes of the start."""
+        scenario = self.scenario
+        origin = scenario.origin
+        kind = Kind(name='origin', count=1, cores=origin.cores, speed=origin.speed, queue=origin.queue, keeps=1)
+        self.fleet.origin = self.add_server('origin', kind, self.zones[0], 0, origin=True).model
+        index = 0
+        for kind in scenario.kinds:
+            for _ in range(kind.count):
+                self.add_server('c%d' % index, kind, self.zones[index % len(self.zones)], index // 4)
+                index += 1
+        self.made = index
+        self.warm()
+        for number in range(scenario.nodes):
+            zone = self.zones[number % len(self.zones)]
+            place = Place(number, zone, (self.spot(1, number), PORT), (self.spot(3, number), ASK))
+            self.hosts[place.address[0]] = ('node', zone, place.name)
+            self.hosts[place.agent[0]] = ('agent', zone, place.name)
+            self.hosts[self.spot(4, number)] = ('client', zone, place.name)
+            self.places.append(place)
+            self.agents.append(Agent(self, place.name, place.agent))
+
+    @staticmethod
+    def spot(role, number):
+        """A loopback address."""
+        return '127.%d.%d.%d' % (role, number // 250, number % 250 + 1)
+
+    def add_server(self, name, kind, zone, cell, started=0, origin=False, address=None):
+        """One more server, not yet open."""
+        number = len(self.servers)
+        model = Model(name, self.scenario, kind, zone, cell, self.fleet, self.clock, self.later, self.drop,
+                      self.chance('model ' + name), self.see, started, origin)
+        address = address or (self.spot(2, number), PORT)
+        server = CacheServer(self, model, address, number)
+        server.cap = getattr(kind, 'connections', 1 << 30) if not origin else 1 << 30
+        self.servers[name] = server
+        self.hosts[address[0]] = ('server', zone, name)
+        if not origin:
+            self.fleet.servers[name] = model
+        self.roster.rows[name] = {'name': name, 'state': 'ready', 'address': '%s:%d' % address, 'zone': zone,
+                                  'kind': kind.name, 'cell': cell, 'weight': kind.cores * kind.speed if not origin else 1.0,
+                                  'started': started}
+        return server
+
+    def warm(self):
+        """What servers keep at the start: most of the keys that would be theirs, by chance, the popular ones first."""
+        scenario, chance = self.scenario, self.chance('warm')
+        names = sorted(self.fleet.servers)
+        for rank in range(scenario.load.keys):
+            for name in names:
+                if chance.random() < scenario.caches.warm_share:
+                    self.fleet.servers[name].keep('k%d' % rank, 0)
+
+    def client_address(self, place):
+        return (self.spot(4, place.number), 0)
+
+    def who(self, host):
+        """Who has this address, by name."""
+        return self.hosts.get(host, ('', '', host))[2]
+
+    def at_work(self, name):
+        """Whether a server is one of the run still."""
+        return name in self.servers
+
+    # --- the front --------------------------------------------------------------------------------------
+
+    def front(self, draw):
+        """A node for the next connection, or None."""
+        open_ = [place for place in self.places if place.open]
+        return open_[int(draw() * len(open_))] if open_ else None
+
+    def page(self, place):
+        """A node's page, in the platform's form."""
+        scenario, rules = self.scenario, self.scenario.rules
+        agent = self.agents[place.number]
+        return {
+            'name': place.name, 'listen': '%s:%d' % place.address, 'discovery': '%s:%d' % agent.address,
+            'seed': '%016x' % self.chance('seed %s %d' % (place.name, self.number())).getrandbits(64),
+            'limits': {'cores': 1.0, 'memory_mb': scenario.limits.memory_mb, 'sockets': scenario.limits.sockets},
+            'known': agent.page(), 'settings': {
+                'balancers': scenario.nodes, 'rank': place.number, 'zone': self.zones.index(place.zone), 'tickS': 0.005,
+                'kindOfService': 'cache', 'membershipMode': scenario.discovery.mode,
+                'kinds': [kind.name for kind in scenario.kinds] + ['origin'],
+                'profiles': [{'name': p.name, 'effect': p.effect, 'group': p.group, 'repeatWindowS': p.window_s,
+                              'serviceGoalS': p.goal_s, 'lateRevenue': p.late_revenue, 'hardLimitS': p.limit_s}
+                             for p in scenario.profiles],
+                'tenants': [{'name': t.name, 'quotaPerS': t.share * scenario.load.rate
+                             / sum(t.share for t in scenario.tenants)} for t in scenario.tenants],
+                'fees': {'handshake': scenario.prices.handshake, 'connection': scenario.prices.connection},
+                'familyInfo': {'mode': scenario.caches.mode, 'originKind': len(scenario.kinds)},
+                'limits': {'retryAfter': rules.retry_after_s > 0, 'mayDuplicate': rules.may_copy,
+                           'cancel': rules.may_cancel, 'maxHops': rules.max_hops, 'maxRetryAfterS': rules.retry_after_s,
+                           'connIdleS': scenario.caches.idle_s, 'connectTimeoutS': 0.25},
+                'safety': {'stopSendingWithinS': rules.drain_grace_ms / 1000, 'askWithinS': 10.0,
+                           'fallMultiple': rules.fall_multiple, 'overloadForS': rules.fall_s,
+                           'coldFrom': rules.cold_from, 'warmUpS': rules.warm_s}}}
+
+    # --- the run ----------------------------------------------------------------------------------------
+
+    def begin(self):
+        """Everybody starts; clients come when the nodes are ready."""
+        for server in self.servers.values():
+            server.open()
+        for agent in self.agents:
+            agent.open()
+        for place in self.places:
+            self.start_node(place)
+        self.later(SETTLE, self.crowd.begin)
+        self.later(SETTLE, self.faults.begin)
+        self.later(1_000_000, self.sweep)
+
+    def start_node(self, place):
+        """Start a node's process; the front notices a moment later."""
+        if place.running is not None or self.closing:
+            return
+        self.see('node', place.name, 'up')
+        place.running = self.ground.start_node(place, self.page(place))
+        self.later(300_000, self.open_node, place, place.running)
+
+    def open_node(self, place, running):
+        if place.running is running and running is not None:
+            place.open = True
+
+    def shut_node(self, place):
+        """The front sends nobody there any more."""
+        if place.running is None or place.running.leaving:
+            place.open = False
+
+    def kill_node(self, place):
+        """SIGKILL: the front finds out after a while."""
+        running, place.running = place.running, None
+        if running is not None:
+            self.see('node', place.name, 'killed')
+            running.leaving = True
+            running.kill()
+            self.later(int(self.scenario.clients.notice_s * 1e6), self.shut_node, place)
+
+    def term_node(self, place):
+        """SIGTERM: new connections come for a moment longer."""
+        if place.running is not None and not place.running.leaving:
+            self.see('node', place.name, 'term')
+            place.running.leaving = True
+            place.running.term()
+            self.later(300_000, self.shut_node, place)
+
+    def exited(self, place, counts):
+        """A node's process has ended by itself."""
+        self.see('node', place.name, 'exit')
+        if counts is not None:
+            self.see('counters', place.name, counts)
+        place.running, place.open = None, False
+
+    def sweep(self):
+        """Servers close connections that idle."""
+        for server in self.servers.values():
+            server.sweep()
+        self.later(1_000_000, self.sweep)
+
+    def stop_clients(self):
+        """Nobody new asks."""
+        self.crowd.stopped = True
+
+    def finish(self):
+        """The run ends: nodes are asked to go."""
+        self.closing = True
+        for place in self.places:
+            if place.running is not None and not place.running.leaving:
+                self.see('node', place.name, 'term')
+                place.running.leaving = True
+                place.running.term()
+
+    @property
+    def spans(self):
+        """When clients stop, when nodes are asked to go, and when all is over: microseconds."""
+        slowest = max(profile.limit_s for profile in self.scenario.profiles)
+        stop = SETTLE + int(self.scenario.length_s * 1e6)
+        leave = stop + int((slowest + 0.5) * 1e6)
+        return stop, leave, leave + int((slowest + 2.0) * 1e6)
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -7,11 +7,9 @@
 """
 
 import gc
-import resource
 import signal
 from collections import Counter
 from random import Random
-from time import monotonic, time
 
 from . import http
 from .caches import NOTES, Caches
@@ -19,6 +17,7 @@
 from .front import Front
 from .logs import LOG, say, warn
 from .sockets import Reactor
+from .system import System
 from .tables import Deadlines, Table
 from ..decode import page
 from ..logic import Router, Server
@@ -55,11 +54,11 @@
 class Node:
     """One node from start to exit."""
 
-    def __init__(self, place, reactor, elapsed=monotonic):
-        self.place, self.reactor, self.elapsed = place, reactor, elapsed
+    def __init__(self, place, reactor, system=System):
+        self.place, self.reactor, self.system, self.elapsed = place, reactor, system, system.elapsed
         self.phase = STARTING
-        self.zero = elapsed() - 1       # the module's clock starts at one second
-        self.offset = self.clock() - int(time() * SECOND)
+        self.zero = self.elapsed() - 1       # the module's clock starts at one second
+        self.offset = self.clock() - int(system.wall() * SECOND)
         self.chance = Random(place.seed).random
         self.router = Router(place.terms, place.seed, place.rank)
         self.servers = {}
@@ -79,8 +78,7 @@
 
     def descriptors(self):
         """How many this process may hold."""
-        soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        return min(self.place.sockets, soft if soft > 0 else self.place.sockets)
+        return min(self.place.sockets, self.system.descriptors() or self.place.sockets)
 
     # --- phases -----------------------------------------------------------------------------------------
 
@@ -349,7 +347,7 @@
     def figures(self, _):
         """A line of counts since the start."""
         say('figures', open=len(self.errands), clients=len(self.front.table), links=self.caches.open,
-            memory_kb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss, **self.counts)
+            memory_kb=self.system.memory_kb(), **self.counts)
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
 
 
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -18,10 +18,9 @@
 CLOSED = (7, 8)                         # states that it tells first: all is over, or the other side has closed
 
 
-class Reactor(EPollReactor):
-    """Twisted's own on epoll, with an order: what servers answer is read before what clients ask, as work that is
-    nearly done must not wait for more of it. It also spares each event the logging context that nobody here uses;
-    what an event raises is caught and logged below this."""
+class AnswersFirst:
+    """The order of a reactor's turn: what servers answer is read before what clients ask, as work that is nearly done
+    must not wait for more of it."""
 
     def doPoll(self, timeout):
         try:
@@ -43,6 +42,11 @@
     doIteration = doPoll
 
 
+class Reactor(AnswersFirst, EPollReactor):
+    """Twisted's own on epoll, with that order. It also spares each event the logging context that nobody here uses;
+    what an event raises is caught and logged below this."""
+
+
 class Outgoing(Protocol):
     """One end of a connection that this side opens."""
 
--- /dev/null
+++ b/lilacdyke/net/system.py
@@ -0,0 +1,26 @@
+"""What a node asks of the machine it runs on, apart from connections: its clocks and its limits.
+
+The seam's first home; the second is in lilacdyke/lab/ground.py, over simulated machines. Connections need no seam
+of their own: what sockets.py asks past Twisted goes to the socket that a transport holds, and a simulated one answers
+the same calls. Must never know what a node does.
+"""
+
+import resource
+from time import monotonic, time
+
+
+class System:
+    """This process on this machine, as its operating system tells. Times in seconds."""
+
+    elapsed = staticmethod(monotonic)       # goes on evenly, from anywhere
+    wall = staticmethod(time)               # Unix time
+
+    @staticmethod
+    def descriptors():
+        """How many this process may hold; 0: not told."""
+        return max(0, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+
+    @staticmethod
+    def memory_kb():
+        """The most that this process has held."""
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,6 +9,7 @@
 from lilacdyke.decode import place
 from lilacdyke.logic import Hop, Router, Server
 from lilacdyke.net.node import Node
+from lilacdyke.net.system import System
 from lilacdyke.terms import IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT, Profile, SiteTerms
 
 READ, KEPT, ONCE = range(3)
@@ -169,11 +170,18 @@
     stopReading = startReading = stopListening = lambda self: None
 
 
+class Machine(System):
+    """This one, but for the clock, which is a reactor's."""
+
+    def __init__(self, reactor):
+        self.elapsed = reactor.seconds
+
+
 def node(**other):
     """A node that serves, on a reactor of its own; its clock is that reactor's."""
     reactor = MemoryReactorClock()
     reactor.listenTCP = Port
-    made = Node(place(page(**other)), reactor, reactor.seconds)
+    made = Node(place(page(**other)), reactor, Machine(reactor))
     made.start()
     return made
 
