--- a/lilacdyke/lab/ground.py
+++ b/lilacdyke/lab/ground.py
@@ -142,6 +142,19 @@
             return net.client_ms * 1_000
         return (net.same_ms if one[1] == other[1] else net.cross_ms) * 1_000
 
+    @staticmethod
+    def port(number):
+        return number
+
+    @staticmethod
+    def seen_as(node, address):
+        """A server's address as a node has it."""
+        return '%s:%d' % address
+
+    def node_of(self, transport):
+        """Whose hop it is: by the address that it came from."""
+        return self.stage.who(transport.getPeer().host)
+
     def listen(self, factory, address):
         return self.rig.listenTCP(address[1], factory, 1024, address[0])
 
--- /dev/null
+++ b/lilacdyke/lab/loopback.py
@@ -0,0 +1,302 @@
+"""Loopback ground: real node processes and the stand-ins on a real reactor, on addresses in 127.0.0.0/8 only.
+
+Owns the processes that it starts, their pages and logs, and the real clock. Each node sees the servers under addresses
+of its own, so that they know whose hop it is. Must never touch a process that it did not start, nor outlive its run.
+"""
+
+import gc
+import json
+import os
+import shlex
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from random import Random
+
+import msgspec
+
+from . import stage as staging
+from .judges import judge
+from .runs import Outcome
+from .service import figures
+from .witness import digest
+
+SLACK_MS = 400.0                        # real machines are late: the rules' slack is at least this
+KEPT, TRIMMED = 60_000, 20_000          # rows that `up` keeps, and lets go at a time
+
+
+class Running:
+    """One node process."""
+
+    def __init__(self, ground, place, page):
+        self.ground, self.place, self.leaving, self.process = ground, place, False, None
+        self.path = os.path.join(ground.folder, place.name + '.json')
+        self.log = os.path.join(ground.folder, '%s-%d.log' % (place.name, ground.stage.number()))
+        self.write(page)
+        with open(self.log, 'wb') as log:
+            self.popen = subprocess.Popen([sys.executable, '-m', 'lilacdyke', 'serve', '--config', self.path],
+                                          stdout=log, stderr=log, start_new_session=True)
+        self.look()
+
+    def write(self, page):
+        with open(self.path + '.new', 'w', encoding='utf-8') as file:
+            json.dump(page, file)
+        os.replace(self.path + '.new', self.path)
+
+    def look(self):
+        """Whether it has ended."""
+        if self.popen.poll() is None:
+            self.ground.later(100_000, self.look)
+        elif self.place.running is self:
+            self.ground.stage.exited(self.place, self.counts())
+
+    def counts(self):
+        """What its last line counted; and its errors."""
+        found = {}
+        with open(self.log, encoding='utf-8', errors='replace') as file:
+            for line in file:
+                words = dict(word.partition('=')[::2] for word in shlex.split(line) if '=' in word) if '=' in line else {}
+                if words.get('level') in ('error', 'critical'):
+                    self.ground.stage.see('error', self.place.name, line.strip()[:300])
+                if words.get('event') == 'stopped':
+                    found = {name: int(value) for name, value in words.items() if value.isdigit()}
+        if not found:
+            return None
+        return dict(found, out=0, hops=0, clients=0, links=0, descriptors=0, most=0, waits=0)
+
+    def signal(self, number):
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def term(self):
+        self.signal(signal.SIGTERM)
+
+    def hup(self, page):
+        self.write(page)
+        self.signal(signal.SIGHUP)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def freeze(self, span):
+        self.signal(signal.SIGSTOP)
+        self.ground.later(span, self.signal, signal.SIGCONT)
+
+
+class Ports:
+    """One server's ports: an address for each node."""
+
+    def __init__(self, ports):
+        self.ports = ports
+
+    def stopListening(self):
+        for port in self.ports:
+            port.stopListening()
+
+
+class Ground:
+    """The real one."""
+
+    simulated = False
+
+    def __init__(self, scenario, seed, reactor):
+        self.scenario, self.seed, self.reactor = scenario, seed, reactor
+        self.zero = time.monotonic()
+        self.epoch_ms = int(time.time() * 1_000)
+        self.stage, self.folder, self.shift = None, None, self.free()
+
+    @staticmethod
+    def free():
+        """How far the ports are moved, so that two labs on one machine do not meet."""
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            return probe.getsockname()[1] // 2 % 9_000 * 2 + 20_000 - staging.PORT
+
+    def clock(self):
+        return int((time.monotonic() - self.zero) * 1e6)
+
+    def later(self, wait, call, *given):
+        return self.reactor.callLater(max(0, wait) / 1e6, call, *given)
+
+    @staticmethod
+    def drop(timer):
+        if timer.active():
+            timer.cancel()
+
+    def chance(self, name):
+        return Random('%s/%s' % (self.seed, name))
+
+    def port(self, number):
+        return number + self.shift
+
+    def seen_as(self, node, address):
+        """A server's address as that node has it: 127.2.x.y becomes one of its own."""
+        host, port = address
+        return '127.%d.%s:%d' % (32 + node, host.split('.', 2)[2], self.port(port))
+
+    def node_of(self, transport):
+        """Whose hop it is: by the address that it came to."""
+        return 'n%d' % (int(transport.getHost().host.split('.')[1]) - 32)
+
+    def listen(self, factory, address):
+        if address[0].startswith('127.2.'):
+            made = [self.seen_as(place.number, address).rpartition(':')[::2] for place in self.stage.places]
+            return Ports([self.reactor.listenTCP(int(port), factory, 1024, host) for host, port in made])
+        return self.reactor.listenTCP(self.port(address[1]), factory, 1024, address[0])
+
+    def connect(self, address, factory, bind):
+        self.reactor.connectTCP(address[0], self.port(address[1]), factory, timeout=5, bindAddress=bind)
+
+    def start_node(self, place, page):
+        return Running(self, place, page)
+
+
+def real(scenario):
+    """The scenario with the slack that real machines need."""
+    replace = msgspec.structs.replace
+    return replace(scenario, rules=replace(scenario.rules, slack_ms=max(SLACK_MS, scenario.rules.slack_ms)))
+
+
+def play(scenario, seed, watch=None, seconds=None, strangers=False):
+    """Play on loopback; its Stage. watch: called with the stage each second; seconds: the most that it goes on, None:
+    the scenario's own length."""
+    from twisted.internet.epollreactor import EPollReactor
+    from twisted.logger import globalLogBeginner
+    from .ground import _BEGUN, observe
+    if not _BEGUN:
+        try:
+            globalLogBeginner.beginLoggingTo([observe], discardBuffer=True, redirectStandardIO=False)
+        except Exception:
+            pass
+    reactor = EPollReactor()
+    ground = Ground(scenario, seed, reactor)
+    stage = None
+    try:
+        with tempfile.TemporaryDirectory() as ground.folder:
+            ground.stage = stage = staging.Stage(scenario, seed, ground)
+            stage.strangers = strangers
+            stop, leave, end = stage.spans
+            if seconds is not None:
+                extra = int(seconds * 1e6) + staging.SETTLE - stop
+                stop, leave, end = stop + extra, leave + extra, end + extra
+            ground.later(stop, stage.stop_clients)
+            ground.later(leave, stage.finish)
+            ground.later(end, reactor.stop)
+            if watch is not None:
+                def again():
+                    watch(stage)
+                    ground.later(1_000_000, again)
+                ground.later(1_000_000, again)
+            stage.begin()
+            try:
+                reactor.run()
+            finally:
+                for place in stage.places:
+                    if place.running is not None:
+                        place.running.kill()
+    finally:
+        reactor.disconnectAll() if hasattr(reactor, 'disconnectAll') else None
+    return stage
+
+
+def one(scenario, seed=None, rows=False):
+    """Play and judge one scenario on loopback."""
+    scenario = real(scenario)
+    seed = scenario.seed if seed is None else seed
+    begun = time.perf_counter()
+    stage = play(scenario, seed)
+    seen = stage.witness.rows
+    return Outcome(name=scenario.name, seed=seed, figures=figures(scenario, seen),
+                   broken=[(found.rule, found.when, found.text) for found in judge(scenario, seen)],
+                   hash=digest(seen), wall=time.perf_counter() - begun, rows=seen if rows else None, events=0)
+
+
+class Table:
+    """The live table of `lab up`."""
+
+    def __init__(self, live):
+        self.live, self.at, self.total = live, 0, Counter()
+
+    def update(self, stage):
+        """Count what came since the last time, and show it."""
+        rows = stage.witness.rows
+        new, recent = rows[self.at:], Counter()
+        servers, nodes, latencies = Counter(), Counter(), []
+        for row in new:
+            if row[0] == 'over':
+                recent[row[3]] += 1
+                self.total[row[3]] += 1
+                if row[3] == 'served':
+                    latencies.append(row[4])
+            elif row[0] == 'hop':
+                servers[row[3]] += 1
+            elif row[0] == 'ask':
+                nodes[row[4]] += 1
+            elif row[0] == 'fault':
+                self.total['troubles'] += 1
+        self.at = len(rows)
+        self.trim(stage)
+        self.live.update(self.drawn(stage, recent, servers, nodes, sorted(latencies)))
+
+    def trim(self, stage):
+        """Guards against growing for as long as somebody looks."""
+        rows = stage.witness.rows
+        if len(rows) > KEPT:
+            del rows[:TRIMMED]
+            self.at -= TRIMMED
+        for held in (stage.asked, stage.bodies):
+            while len(held) > KEPT:
+                del held[next(iter(held))]
+
+    def drawn(self, stage, recent, servers, nodes, latencies):
+        from rich.console import Group
+        from rich.table import Table as Made
+        top = Made(box=None, title='%.0f s, %s' % (stage.clock() / 1e6, ', '.join(
+            '%d %s' % (count, name) for name, count in sorted(self.total.items())) or 'starting'), title_justify='left')
+        for column in ('node', 'address', 'asked a second'):
+            top.add_column(column, justify='left' if column != 'asked a second' else 'right')
+        for place in stage.places:
+            address = '%s:%d' % (place.address[0], stage.ground.port(place.address[1]))
+            top.add_row(place.name, address if place.running else 'down', str(nodes[place.name]))
+        below = Made(box=None)
+        for column in ('server', 'kind', 'hops a second', 'running', 'waiting', 'kept', 'warm'):
+            below.add_column(column, justify='left' if column in ('server', 'kind') else 'right')
+        for name, server in list(stage.servers.items())[:40]:
+            model = server.model
+            below.add_row(name, model.kind, str(servers[name]), str(len(model.running)), str(len(model.waiting)),
+                          str(len(model.kept)), '%d %%' % (100 * model.presence()))
+        told = 'latency ms: p50 %.0f, p99 %.0f' % (latencies[len(latencies) // 2] / 1e3, latencies[
+            len(latencies) * 99 // 100] / 1e3) if latencies else ''
+        return Group(top, below, told)
+
+
+def up(scenario, seconds=None, rate=None):
+    """Bring all up for somebody to look at; the exit code."""
+    from rich.console import Console
+    from rich.live import Live
+    replace = msgspec.structs.replace
+    scenario = real(replace(scenario, load=replace(scenario.load, rate=rate or min(scenario.load.rate, 40.0))))
+    console = Console()
+    console.print('%s: %d nodes, %d caches, an origin and discovery on loopback; Ctrl-C ends it' % (
+        scenario.name, scenario.nodes, scenario.servers))
+    profile = scenario.profiles[0].name
+    with Live(console=console, refresh_per_second=2) as live:
+        table, shown = Table(live), []
+
+        def watch(stage):
+            if not shown:
+                shown.append(True)
+                address = stage.places[0].address
+                live.console.print('try: curl -i http://%s:%d/%s/k1 -H "Req-Id: mine1"' % (
+                    address[0], stage.ground.port(address[1]), profile))
+            table.update(stage)
+        gc.collect()
+        stage = play(scenario, scenario.seed, watch, seconds or 7 * 86_400, strangers=True)
+    counts = table.total
+    console.print('%d served, %d refused, %d failed' % (counts['served'], counts['refused'], counts['failed']))
+    return 0 if stage.witness.rows and counts['served'] else 1
--- a/lilacdyke/lab/parts/discovery.py
+++ b/lilacdyke/lab/parts/discovery.py
@@ -45,14 +45,15 @@
 
     noisy = False
 
-    def __init__(self, stage, node, address):
-        self.stage, self.node, self.address, self.port = stage, node, address, None
+    def __init__(self, stage, place):
+        self.stage, self.node, self.address, self.port = stage, place.name, place.agent, None
+        self.number = place.number
         self.roster = stage.roster
         self.rows, self.version = self.roster.whole(), self.roster.version
         self.coming, self.ready_at = [], 0      # changes on their way here, in order
         self.log = []                           # (version, row) of changes known here
         self.watches, self.silent, self.lag, self.half = {}, False, 0, False
-        self.chance = stage.chance('agent ' + node)
+        self.chance = stage.chance('agent ' + place.name)
         self.roster.agents.append(self)
         self.beating = False
 
@@ -103,7 +104,7 @@
 
     def entry(self, row):
         started = row['started']
-        return {'instanceId': row['name'], 'hostPort': row['address'], 'zone': row['zone'], 'machineType': row['kind'],
+        return {'instanceId': row['name'], 'hostPort': self.stage.ground.seen_as(self.number, row['address']), 'zone': row['zone'], 'machineType': row['kind'],
                 'cell': row['cell'], 'lifecycle': LIFE[row['state']], 'weight': row['weight'],
                 'startedAtMs': self.stage.unix_ms(started) if started else 0}
 
--- a/lilacdyke/lab/scenario.py
+++ b/lilacdyke/lab/scenario.py
@@ -255,7 +255,7 @@
 def load(name):
     """A scenario by its path, or by the name of one that ships with the lab."""
     path = Path(name)
-    if not path.suffix and not path.exists():
+    if not path.suffix and not path.is_file():
         path = FOLDER / (name + '.toml')
     try:
         return read(path.read_text(encoding='utf-8'), name)
--- a/lilacdyke/lab/stage.py
+++ b/lilacdyke/lab/stage.py
@@ -43,6 +43,7 @@
         self.fleet, self.roster = Fleet(), Roster(self)
         self.servers, self.places, self.agents, self.hosts = {}, [], [], {}
         self.closing, self.made, self.moves = False, 0, 0
+        self.strangers = False          # whether requests of others than the run's clients are served
         self.zones = [chr(97 + zone % 26) + str(zone // 26 or '') for zone in range(scenario.zones)]
         self.build()
         self.crowd = Crowd(self)
@@ -78,7 +79,7 @@
             self.hosts[place.agent[0]] = ('agent', zone, place.name)
             self.hosts[self.spot(4, number)] = ('client', zone, place.name)
             self.places.append(place)
-            self.agents.append(Agent(self, place.name, place.agent))
+            self.agents.append(Agent(self, place))
 
     @staticmethod
     def spot(role, number):
@@ -97,7 +98,7 @@
         self.hosts[address[0]] = ('server', zone, name)
         if not origin:
             self.fleet.servers[name] = model
-        self.roster.rows[name] = {'name': name, 'state': 'ready', 'address': '%s:%d' % address, 'zone': zone,
+        self.roster.rows[name] = {'name': name, 'state': 'ready', 'address': address, 'zone': zone,
                                   'kind': kind.name, 'cell': cell, 'weight': kind.cores * kind.speed if not origin else 1.0,
                                   'started': started}
         return server
@@ -134,7 +135,8 @@
         scenario, rules = self.scenario, self.scenario.rules
         agent = self.agents[place.number]
         return {
-            'name': place.name, 'listen': '%s:%d' % place.address, 'discovery': '%s:%d' % agent.address,
+            'name': place.name, 'listen': '%s:%d' % (place.address[0], self.ground.port(place.address[1])),
+            'discovery': '%s:%d' % (agent.address[0], self.ground.port(agent.address[1])),
             'seed': '%016x' % self.chance('seed %s %d' % (place.name, self.number())).getrandbits(64),
             'limits': {'cores': 1.0, 'memory_mb': scenario.limits.memory_mb, 'sockets': scenario.limits.sockets},
             'known': agent.page(), 'settings': {
