--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from errno import EMFILE, ENFILE
+from errno import ECONNREFUSED, EMFILE, ENFILE
 
 from twisted.internet.defer import Deferred
 
@@ -163,13 +163,14 @@
 class Pool:
     """The connections to one server."""
 
-    __slots__ = ('caches', 'server', 'address', 'resting', 'waiting', 'dials')
+    __slots__ = ('caches', 'server', 'address', 'resting', 'waiting', 'dials', 'refused')
 
     def __init__(self, caches, server, address):
         self.caches, self.server, self.address = caches, server, address
         self.resting = []               # idle connections, the latest used last
         self.waiting = deque()          # hops that wait for one
         self.dials = 0                  # connections that are being opened
+        self.refused = False            # whether nobody listened there lately, so that its process had ended
 
     def send(self, trip):
         """Carry a hop on an idle connection, or open one for it."""
@@ -200,6 +201,10 @@
         """A connection is up: it is the first waiting hop's."""
         self.dials -= 1
         self.caches.dialling.remove(number)
+        if self.refused:
+            # Guards against pushing over a fresh process, cold, of which the list tells only seconds later.
+            self.refused = False
+            self.caches.returned(self.server)
         while self.waiting:
             trip = self.waiting.popleft()
             if self.server.state == 'ready':
@@ -213,8 +218,10 @@
         self.dials -= 1
         self.caches.dialling.remove(number)
         self.forget(link)
+        error = getattr(failure.value, 'osError', None)
+        self.refused = self.refused or error == ECONNREFUSED
         if len(self.waiting) > self.dials:
-            none_left = getattr(failure.value, 'osError', None) in (EMFILE, ENFILE)
+            none_left = error in (EMFILE, ENFILE)
             self.waiting.popleft().over('unsent' if none_left else 'unreachable')
 
     def rest(self, link):
@@ -262,12 +269,13 @@
 class Caches:
     """All connections to servers, within a budget of descriptors."""
 
-    def __init__(self, reactor, deadlines, clock, place, budget, broken, fault):
+    def __init__(self, reactor, deadlines, clock, place, budget, broken, fault, returned):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
         self.most, self.held = int(place.memory * HELD), 0
         self.budget = budget
         self.broken, self.fault = broken, fault     # told of answers out of form, and of faults in here
+        self.returned = returned        # told of a server that takes connections again, after it refused some
         self.pools, self.table, self.dialling = {}, Table(), Table()
         self.resting = {}               # idle connections by number, the longest idle first
 
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -67,7 +67,8 @@
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         budget = max(LEAST, (self.descriptors() - SPARE) // 2)
         self.front = Front(self, self.deadlines, self.clock, place.terms, budget)
-        self.caches = Caches(reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault)
+        self.caches = Caches(reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault,
+                             self.returned)
         self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self)
         self.pulling = False
         self.counts = Counter()
@@ -220,6 +221,15 @@
         self.count('broken_answers')
         warn('answer not read', server=server.name, reason=err)
 
+    def returned(self, server):
+        """A server takes connections again where nobody listened: its process is a new one, until the list says
+        otherwise."""
+        if server.state == 'ready' and not server.origin:
+            now = self.clock()
+            self.count('returned')
+            say('server returned', server=server.name)
+            self.router.list_remembered(now, [(server, 'ready', server.weight, now, server.zone, server.cell)])
+
     def fault(self, failure):
         """A fault in the node itself."""
         LOG.error('fault', exc_info=(failure.type, failure.value, failure.getTracebackObject()))
