--- a/lilacdyke/lab/compare.py
+++ b/lilacdyke/lab/compare.py
@@ -58,7 +58,10 @@
 
 def other_tree(ref, folder):
     """Lay out the package of a commit, with this tree's lab over it; what of it is the commit's own, in words."""
-    commit = git('rev-parse', '--verify', '--quiet', ref + '^{commit}').decode().strip()
+    try:
+        commit = git('rev-parse', '--verify', '--quiet', ref + '^{commit}').decode().strip()
+    except CannotCompare:
+        raise CannotCompare('neither a commit nor a baseline: %s; baselines are %s' % (ref, ', '.join(BASELINES))) from None
     with tarfile.open(fileobj=io.BytesIO(git('archive', commit, 'lilacdyke'))) as archive:
         archive.extractall(folder, filter='data')
     made = Path(folder) / 'lilacdyke'
--- a/lilacdyke/lab/draw.py
+++ b/lilacdyke/lab/draw.py
@@ -61,7 +61,7 @@
         nodes=chance.randint(2, 4), zones=chance.randint(1, 3), kinds=fleet, profiles=rows,
         caches=Caches(mode='through' if shape == 'through' else 'aside', work_goes_on=chance.random() < 0.3,
                       warm_share=hits, idle_s=chance.choice([2.0, 15.0]), handshake_ms=chance.uniform(0.3, 8),
-                      pause_every_s=0.0, reports=shape == 'through', ahead=chance.choice([0.0, 0.05])),
+                      pause_every_s=chance.choice([0.0, 0.0, 3.0]), pause_ms=chance.uniform(100, 300), reports=shape == 'through', ahead=chance.choice([0.0, 0.05])),
         origin=Origin(cores=max(2, round(back * chance.uniform(2.0, 3.1))), queue=chance.randint(20, 300)),
         net=Net(same_ms=chance.uniform(0.1, 0.5), cross_ms=chance.uniform(0.4, 3), client_ms=chance.uniform(0.5, 1.2),
                 jitter=chance.uniform(0.05, 0.4)),
--- a/lilacdyke/lab/hunt.py
+++ b/lilacdyke/lab/hunt.py
@@ -34,7 +34,7 @@
 def hunt(names, seeds, jobs, told):
     """Hunt all; {name: Caught or None}. Those that were done before an interrupt are in it."""
     caught = {}
-    pool = ProcessPoolExecutor(jobs)
+    pool = ProcessPoolExecutor(jobs, initializer=runs.deaf)
     try:
         futures = {pool.submit(one, name, seeds): name for name in names}
         for done in as_completed(futures):
--- a/lilacdyke/lab/parts/model.py
+++ b/lilacdyke/lab/parts/model.py
@@ -88,6 +88,13 @@
         self.kept.move_to_end(key)
         return True
 
+    def fetched_now(self, key):
+        """Whether the origin is at work on a fetch of a key: then a miss is `pending`, where servers tell so."""
+        origin = self.fleet.origin
+        if not self.caches.coalesce or origin is None:
+            return False
+        return any(job.key == key and not job.write for job in (*origin.running.values(), *origin.waiting))
+
     def void(self, key):
         """A write has changed it."""
         self.kept.pop(key, None)
@@ -134,10 +141,13 @@
             job.miss = True
         work = job.work * (self.caches.miss_cost if job.miss else 1.0)
         took = int(work * self.slow / (self.speed * self.presence())) + 1
-        job.timer = self.later(max(took, self.standing - now + took if self.standing > now else took), self.finish, job)
+        job.timer = self.later(took, self.finish, job)
 
     def finish(self, job):
-        """Its work is done."""
+        """Its work is done, unless all stands still."""
+        if self.clock() < self.standing:
+            job.timer = self.later(self.standing - self.clock(), self.finish, job)
+            return
         job.timer = None
         self.see('worked', job.hop, self.clock() - job.began)
         del self.running[job.hop]
@@ -213,7 +223,7 @@
     def next(self):
         """The one that waited longest; who is over its time, or gone, is dropped unrun."""
         now = self.clock()
-        while self.waiting and len(self.running) < self.cores:
+        while self.waiting and len(self.running) < self.cores and now >= self.standing:
             job = self.waiting.popleft()
             if job.state != 'waiting':
                 continue
--- a/lilacdyke/lab/parts/servers.py
+++ b/lilacdyke/lab/parts/servers.py
@@ -126,7 +126,8 @@
         note = ''
         caches = self.model.caches
         if caches.tells and not self.model.origin:
-            note = 'Srv-Cache: %s\r\n' % ('miss' if job.miss else 'hit')
+            word = 'hit' if not job.miss else 'pending' if self.model.fetched_now(job.key) else 'miss'
+            note = 'Srv-Cache: %s\r\n' % word
         if caches.reports:
             note += 'Srv-Load: {"queue":%d}\r\n' % len(self.model.waiting)
         if job.outcome == 'miss':
@@ -189,6 +190,13 @@
         self.stage.later(0, self.close, 'overturned')
         self.stage.later(self.model.down_us, self.restart)
 
+    def pause(self):
+        """It stands still now and then, at times of its own."""
+        caches = self.model.caches
+        if self.port is not None:
+            self.model.stand(self.clock() + int(caches.pause_ms * 1_000))
+        self.stage.later(int(caches.pause_every_s * 1e6 * self.chance.uniform(0.7, 1.3)), self.pause)
+
     def restart(self):
         """Up again, cold."""
         if self.port is None and not self.stage.closing and self.stage.at_work(self.name):
--- a/lilacdyke/lab/runs.py
+++ b/lilacdyke/lab/runs.py
@@ -5,6 +5,7 @@
 
 import gc
 import os
+import signal
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor, as_completed
@@ -71,7 +72,7 @@
             except Exception as err:
                 each(index, err)
         return True
-    pool = ProcessPoolExecutor(jobs)
+    pool = ProcessPoolExecutor(jobs, initializer=deaf)
     try:
         numbers = {pool.submit(task, *given): index for index, given in enumerate(tasks)}
         for done in as_completed(numbers):
@@ -88,6 +89,11 @@
         pool.shutdown(wait=False, cancel_futures=True)
 
 
+def deaf():
+    """Ctrl-C is for the process that a person started: it lets the workers go."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
 def cores(asked):
     """How many processes: as asked, or one for each core."""
     return asked or len(os.sched_getaffinity(0)) if sys.platform == 'linux' else asked or os.cpu_count() or 1
--- a/lilacdyke/lab/stage.py
+++ b/lilacdyke/lab/stage.py
@@ -25,6 +25,7 @@
     def __init__(self, number, zone, address, agent):
         self.number, self.name, self.zone, self.address, self.agent = number, 'n%d' % number, zone, address, agent
         self.open, self.running = False, None           # open: the front sends clients here
+        self.known = None               # the list that its last process had, once that was killed
 
 
 class Stage:
@@ -139,7 +140,7 @@
             'discovery': '%s:%d' % (agent.address[0], self.ground.port(agent.address[1])),
             'seed': '%016x' % self.chance('seed %s %d' % (place.name, self.number())).getrandbits(64),
             'limits': {'cores': 1.0, 'memory_mb': scenario.limits.memory_mb, 'sockets': scenario.limits.sockets},
-            'known': agent.page(), 'settings': {
+            'known': place.known or agent.page(), 'settings': {
                 'balancers': scenario.nodes, 'rank': place.number, 'zone': self.zones.index(place.zone), 'tickS': 0.005,
                 'kindOfService': 'cache', 'membershipMode': scenario.discovery.mode,
                 'kinds': [kind.name for kind in scenario.kinds] + ['origin'],
@@ -163,6 +164,8 @@
         """Everybody starts; clients come when the nodes are ready."""
         for server in self.servers.values():
             server.open()
+            if self.scenario.caches.pause_every_s and not server.model.origin:
+                self.later(int(self.scenario.caches.pause_every_s * 1e6 * server.chance.random()), server.pause)
         for agent in self.agents:
             agent.open()
         for place in self.places:
@@ -195,6 +198,7 @@
             self.see('node', place.name, 'killed')
             running.leaving = True
             running.kill()
+            place.known = self.agents[place.number].page()
             self.later(int(self.scenario.clients.notice_s * 1e6), self.shut_node, place)
 
     def term_node(self, place):
