--- /dev/null
+++ b/lilacdyke/plan/frames.py
@@ -0,0 +1,112 @@
+"""Frames between forwarders and planners: MessagePack in a length, versioned, read strictly.
+
+Owns the form on the wire. A frame is four bytes of length (big-endian, MOST at most), then a MessagePack array
+[major, minor, kind, fields]. A newer minor version may bring fields that this one does not know: they are skipped. A newer
+major is refused. Must never guess at what is out of form, hold more than one frame's bytes, or touch a socket.
+"""
+
+from struct import Struct
+
+import msgpack
+
+MAJOR, MINOR = 1, 0
+MOST = 262_144                          # bytes of one frame
+HEAD = Struct('>I')
+AMOUNT = 1 << 40                        # no grains, versions or spans beyond that
+NAME = 200                              # characters of a key or a life
+
+
+class BadFrame(Exception):
+    """Bytes that are no frame: the link ends. Says why, in one line."""
+
+
+class OtherMajor(BadFrame):
+    """The other side speaks a version that this one does not."""
+
+
+def whole(value):
+    """A number that may be an amount, a version or a span."""
+    if type(value) is not int or not 0 <= value < AMOUNT:
+        raise BadFrame('no whole number in range: %.60r' % (value,))
+    return value
+
+
+def name(value):
+    """A word."""
+    if type(value) is not str or not 0 < len(value) <= NAME:
+        raise BadFrame('no name: %.60r' % (value,))
+    return value
+
+
+def maybe(read):
+    """What may be nil."""
+    return lambda value: None if value is None else read(value)
+
+
+def amounts(value):
+    """Grains by key."""
+    if type(value) is not dict:
+        raise BadFrame('no table: %.60r' % (value,))
+    return {name(key): whole(amount) for key, amount in value.items()}
+
+
+# The fields of each kind, all of which must be there.
+DIGEST, PLAN = 'digest', 'plan'
+FIELDS = {
+    DIGEST: {'forwarder': name, 'seq': whole, 'holds': whole, 'life': maybe(name), 'stamp': maybe(whole), 'held': whole,
+             'gifts': amounts, 'wants': amounts},
+    PLAN: {'forwarder': name, 'seq': whole, 'life': name, 'version': whole, 'stamp': whole, 'leases': amounts,
+           'forwarders': whole}}
+
+
+def pack(kind, fields):
+    """One frame's bytes."""
+    body = msgpack.packb([MAJOR, MINOR, kind, fields])
+    if len(body) > MOST:
+        raise BadFrame('a %s of %d bytes' % (kind, len(body)))
+    return HEAD.pack(len(body)) + body
+
+
+def unpack(body):
+    """(kind, fields) of a frame's body; a kind that this version does not know gives None for its fields."""
+    try:
+        tree = msgpack.unpackb(body, strict_map_key=True, max_buffer_size=MOST)
+    except Exception as err:            # the library raises many kinds, all of which mean the same
+        raise BadFrame('not MessagePack: %s' % ' '.join(str(err).split())[:100]) from None
+    if type(tree) is not list or len(tree) < 4:
+        raise BadFrame('no frame: %.60r' % (tree,))
+    major, _, kind, fields = whole(tree[0]), whole(tree[1]), name(tree[2]), tree[3]
+    if major != MAJOR:
+        raise OtherMajor('version %d.%d, and this is %d.%d' % (major, tree[1], MAJOR, MINOR))
+    if kind not in FIELDS:
+        return kind, None
+    if type(fields) is not dict:
+        raise BadFrame('%s without fields' % kind)
+    missing = [field for field in FIELDS[kind] if field not in fields]
+    if missing:
+        raise BadFrame('%s without %s' % (kind, missing[0]))
+    return kind, {field: read(fields[field]) for field, read in FIELDS[kind].items()}
+
+
+class Frames:
+    """Frames out of a stream, however it was cut."""
+
+    __slots__ = ('buffer',)
+
+    def __init__(self):
+        self.buffer = bytearray()
+
+    def feed(self, data):
+        """All that is whole by now, as (kind, fields). A BadFrame ends the stream."""
+        self.buffer += data
+        found = []
+        while len(self.buffer) >= HEAD.size:
+            size, = HEAD.unpack_from(self.buffer)
+            if size > MOST:
+                raise BadFrame('a frame of %d bytes' % size)
+            if len(self.buffer) < HEAD.size + size:
+                break
+            body = bytes(memoryview(self.buffer)[HEAD.size:HEAD.size + size])
+            del self.buffer[:HEAD.size + size]
+            found.append(unpack(body))
+        return found
--- /dev/null
+++ b/lilacdyke/plan/ledger.py
@@ -0,0 +1,249 @@
+"""Who may spend how much of a budget that all forwarders share: gifts up, leases down, and a sum that always holds.
+
+Owns the promises. Each forwarder owns a fixed part of every budget and needs nobody to spend it. What it can spare it gives to
+a planner for a while (a promise not to spend it); a planner lends out what it was given, for a shorter while, and nothing
+else. So the sum of what all may spend never passes the whole, whatever messages are lost, late, doubled or reordered, whoever
+restarts or is cut off, and with any number of planners that know nothing of each other. Must never do I/O, read a clock, or
+trust another's clock for more than its rate.
+
+Times are whole ticks of the caller's own monotonic clock; amounts are whole grains. Rates of clocks differ by less than
+one part in DRIFT.
+
+How time is told apart without a common clock. A lease runs, for who borrows, from when it sent the digest that the plan
+answers; the planner counts it from when that digest came, which is later: it never ends first in the planner's books.
+A gift runs, for who gives, from when it sent the digest with it; the planner knows that this was not before it sent the plan that the digest
+echoes, plus the time that the giver held that: in the planner's books it never ends last.
+"""
+
+DRIFT = 20
+LIVES = 8                               # lives of one planner that a purse still remembers gifts to
+KEYS = 512                              # budgets in one message; the rest is not asked for
+FORWARDERS = 4_096                      # that one planner serves
+
+
+def longer(span):
+    """The most that a span of another's clock takes on this one."""
+    return span + -(-2 * span // DRIFT)
+
+
+def shorter(span):
+    """The least that it takes."""
+    return span - -(-2 * span // DRIFT)
+
+
+class Gift:
+    """An amount promised until then."""
+
+    __slots__ = ('until', 'amount')
+
+    def __init__(self, until, amount):
+        self.until, self.amount = until, amount
+
+
+def bound(gifts, when):
+    """The most that gifts bind at that time and later ones up to it: what holds until then for sure."""
+    return max((gift.amount for gift in gifts if gift.until >= when), default=0)
+
+
+class Account:
+    """What a purse has with one life of one planner."""
+
+    __slots__ = ('life', 'gifts', 'stamp', 'came', 'version', 'leases')
+
+    def __init__(self, life):
+        self.life, self.gifts = life, {}        # by key: gifts, the newest last
+        self.stamp = self.came = None           # of the newest plan: its own time stamp, and when it came here
+        self.version, self.leases = 0, {}       # by key: (until, amount) of the newest plan
+
+
+class Purse:
+    """A forwarder's: what it may spend. own: grains of each budget that are its; lease, gift: how long those run."""
+
+    __slots__ = ('life', 'own', 'lease', 'gift', 'seq', 'sent', 'accounts', 'most', 'shy')
+
+    def __init__(self, now, life, planners, own, lease, gift, share=2):
+        if gift < 2 * longer(lease):
+            raise ValueError('gifts must run at least twice as long as leases')
+        self.life, self.own, self.lease, self.gift = life, own, lease, gift
+        self.seq, self.sent = 0, {}             # digests sent lately: by number, (planner, when)
+        self.accounts = {planner: [] for planner in planners}       # by planner: its lives, the latest last
+        self.most = own // share // max(1, len(planners))           # that it gives to one planner
+        # Guards against a forwarder that restarts and has forgotten what it gave: as much as it can have given counts as
+        # given until that would have run out.
+        self.shy = now + gift
+
+    def account(self, planner):
+        """That with the planner's present life, or None."""
+        lives = self.accounts[planner]
+        return lives[-1] if lives else None
+
+    def given(self, now, key):
+        """How much of a budget is promised away now."""
+        if now <= self.shy:
+            return self.most * len(self.accounts)
+        return sum(bound(account.gifts.get(key, ()), now) for lives in self.accounts.values() for account in lives)
+
+    def borrowed(self, now, key):
+        """How much of it others have lent."""
+        total = 0
+        for lives in self.accounts.values():
+            if lives and key in lives[-1].leases:
+                until, amount = lives[-1].leases[key]
+                total += amount if now < until else 0
+        return total
+
+    def may(self, now, key):
+        """The grains that it may spend of a budget now."""
+        return self.own - self.given(now, key) + self.borrowed(now, key)
+
+    # --- messages ---------------------------------------------------------------------------------------
+
+    def digest(self, now, planner, spare, wants):
+        """The next digest to a planner. spare, wants: grains by key, what it can do without and what it lacks."""
+        self.seq += 1
+        self.forget(now)
+        self.sent[self.seq] = (planner, now)
+        account, gifts = self.account(planner), {}
+        if account is not None and account.stamp is not None:
+            for key, amount in list(spare.items())[:KEYS]:
+                gifts[key] = self.give(now, planner, account, key, amount)
+        return {'forwarder': self.life, 'seq': self.seq, 'holds': account.version if account else 0,
+                'life': account.life if account else None, 'stamp': account.stamp if account else None,
+                'held': now - account.came if account and account.came is not None else 0,
+                'gifts': {key: amount for key, amount in gifts.items() if amount},
+                'wants': {key: amount for key, amount in list(wants.items())[:KEYS] if amount > 0}}
+
+    def give(self, now, planner, account, key, amount):
+        """Promise as much as is left to promise; what was promised before binds on until it runs out. One planner is never given
+        more than its part, over all of its lives: that is what a restarted forwarder counts on."""
+        gifts = [gift for gift in account.gifts.get(key, ()) if gift.until >= now]
+        lives = sum(bound(other.gifts.get(key, ()), now) for other in self.accounts[planner] if other is not account)
+        amount = max(0, min(amount, self.most - lives))
+        gifts = [gift for gift in gifts if gift.amount > amount]     # a smaller one that ends sooner adds nothing
+        if amount:
+            gifts.append(Gift(now + self.gift, amount))
+        account.gifts[key] = gifts
+        return amount
+
+    def forget(self, now):
+        """Digests whose answers would be void by now, and gifts that have run out."""
+        self.sent = {seq: row for seq, row in self.sent.items() if now < row[1] + self.lease}
+        for lives in self.accounts.values():
+            for account in lives:
+                account.gifts = {key: kept for key, gifts in account.gifts.items()
+                                 if (kept := [gift for gift in gifts if gift.until >= now])}
+            lives[:] = [account for account in lives[:-1] if account.gifts] + lives[-1:]
+
+    def planned(self, now, planner, plan):
+        """A plan has come. Whether it is of use: one that answers no digest of ours that is still young, or that is older than
+        what is held, changes nothing."""
+        asked = self.sent.get(plan['seq'])
+        if asked is None or asked[0] != planner or plan['forwarder'] != self.life:
+            return False
+        until = asked[1] + self.lease
+        if now >= until:
+            return False
+        account = self.account(planner)
+        if account is None or account.life != plan['life']:
+            if any(old.life == plan['life'] for old in self.accounts[planner]) or len(self.accounts[planner]) >= LIVES:
+                return False            # a life that has ended, or one that comes back too often: alone is safe
+            account = Account(plan['life'])
+            self.accounts[planner].append(account)
+        elif plan['version'] <= account.version:
+            return False
+        account.version, account.stamp, account.came = plan['version'], plan['stamp'], now
+        # Guards against absurd plans: nobody is lent more than all that others could have given.
+        account.leases = {key: (until, amount) for key, amount in list(plan['leases'].items())[:KEYS] if amount > 0}
+        return True
+
+
+class Holder:
+    """What a planner knows of one life of a forwarder."""
+
+    __slots__ = ('name', 'seq', 'seen', 'gifts', 'grants', 'wants')
+
+    def __init__(self, name):
+        self.name, self.seq, self.seen = name, 0, 0
+        self.gifts = {}                 # by key: gifts
+        self.grants = []                # (version, until, leases by key), not yet run out nor superseded for sure
+        self.wants = {}
+
+    def charge(self, now, key):
+        """The most that it may be spending of what it was lent."""
+        return max((leases.get(key, 0) for _, until, leases in self.grants if now <= until), default=0)
+
+
+class Bank:
+    """A planner's: what it was given, and to whom it is lent. It starts with nothing and needs nothing of its past: what an earlier
+    life lent is backed by what that life was given, which givers count apart."""
+
+    __slots__ = ('life', 'lease', 'gift', 'version', 'holders')
+
+    def __init__(self, life, lease, gift):
+        self.life, self.lease, self.gift = life, lease, gift
+        self.version, self.holders = 0, {}
+
+    def told(self, now, digest):
+        """A digest has come: the plan that answers it, or None if it is old."""
+        self.tidy(now)
+        holder = self.holders.get(digest['forwarder'])
+        if holder is None:
+            if len(self.holders) >= FORWARDERS:
+                return None
+            holder = self.holders[digest['forwarder']] = Holder(digest['forwarder'])
+        if digest['seq'] <= holder.seq:
+            return None
+        holder.seq, holder.seen, holder.wants = digest['seq'], now, dict(digest['wants'])
+        if digest['life'] == self.life:
+            holder.grants = [grant for grant in holder.grants if grant[0] >= digest['holds']]
+            self.receive(now, holder, digest)
+        return self.plan(now, holder)
+
+    def receive(self, now, holder, digest):
+        """Take gifts in. They run from when the digest was sent at the earliest: not before our plan's stamp and what it was held."""
+        if digest['stamp'] is None or digest['stamp'] > now:
+            return
+        until = min(now, digest['stamp'] + shorter(digest['held'])) + shorter(self.gift)
+        for key, amount in digest['gifts'].items():
+            kept = [gift for gift in holder.gifts.get(key, ()) if gift.until > until or gift.amount > amount]
+            holder.gifts[key] = kept + [Gift(until, amount)]
+
+    def pool(self, key, until):
+        """What is given for sure until then."""
+        return sum(bound(holder.gifts.get(key, ()), until) for holder in self.holders.values())
+
+    def plan(self, now, holder):
+        """What this forwarder may borrow: its fair part of what it lacks, out of what is given for as long as the lease runs."""
+        until, leases = now + longer(self.lease), {}
+        for key, wanted in holder.wants.items():
+            others = sum(other.charge(now, key) for other in self.holders.values() if other is not holder)
+            free = self.pool(key, until) - others
+            amount = min(wanted, free, self.fair(now, key, holder, until))
+            if amount > 0:
+                leases[key] = amount
+        self.version += 1
+        holder.grants.append((self.version, until, leases))
+        return {'forwarder': holder.name, 'seq': holder.seq, 'life': self.life, 'version': self.version, 'stamp': now,
+                'leases': leases, 'forwarders': len(self.holders)}
+
+    def fair(self, now, key, holder, until):
+        """Its part of the pool by water-filling over what all that were heard lately want."""
+        pool, wants = self.pool(key, until), sorted(
+            (other.wants.get(key, 0), other is holder) for other in self.holders.values()
+            if other.wants.get(key, 0) > 0 and (other is holder or now <= other.seen + self.lease))
+        left = len(wants)
+        for wanted, mine in wants:
+            part = min(wanted, pool // left)
+            if mine:
+                return part + (pool % left if wanted > part else 0)
+            pool, left = pool - part, left - 1
+        return 0
+
+    def tidy(self, now):
+        """What has run out binds nobody; a forwarder of whom nothing is left is forgotten."""
+        for name, holder in list(self.holders.items()):
+            holder.grants = [grant for grant in holder.grants if now <= grant[1]]
+            holder.gifts = {key: kept for key, gifts in holder.gifts.items()
+                            if (kept := [gift for gift in gifts if gift.until >= now])}
+            if not holder.grants and not holder.gifts and now > holder.seen + 4 * self.gift:
+                del self.holders[name]
--- /dev/null
+++ b/tests/plan/test_frames.py
@@ -0,0 +1,67 @@
+"""Frames: what is read, however cut, and what ends a link."""
+
+import unittest
+from random import Random
+
+import msgpack
+
+from lilacdyke.plan import frames
+from lilacdyke.plan.frames import HEAD, MOST, BadFrame, Frames, OtherMajor, pack
+from lilacdyke.plan.ledger import Bank, Purse
+
+PLAN = {'forwarder': 'f', 'seq': 1, 'life': 'b', 'version': 1, 'stamp': 5, 'leases': {'k': 3}, 'forwarders': 2}
+
+
+def framed(tree):
+    body = msgpack.packb(tree)
+    return HEAD.pack(len(body)) + body
+
+
+class Reading(unittest.TestCase):
+    def test_frames_however_cut(self):
+        data, reader, found = pack('plan', PLAN) * 3, Frames(), []
+        for at in range(len(data)):
+            found += reader.feed(data[at:at + 1])
+        self.assertEqual((found, len(reader.buffer)), ([('plan', PLAN)] * 3, 0))
+
+    def test_what_the_ledger_says_goes_through_as_it_is(self):
+        purse, bank = Purse(0, 'f', ['p'], 100, 20, 60), Bank('b', 20, 60)
+        digest = purse.digest(100, 'p', {'k': 3}, {'l': 4})
+        (_, came), = Frames().feed(pack('digest', digest))
+        plan = bank.told(5, came)
+        (_, back), = Frames().feed(pack('plan', plan))
+        self.assertEqual((came, back, purse.planned(101, 'p', back)), (digest, plan, True))
+
+    def test_fields_and_kinds_of_a_later_minor_version_are_skipped(self):
+        reader = Frames()
+        self.assertEqual(reader.feed(framed([1, 9, 'plan', dict(PLAN, colour='red')])), [('plan', PLAN)])
+        self.assertEqual(reader.feed(framed([1, 9, 'song', 7])), [('song', None)])
+
+    def test_another_major_version_is_refused(self):
+        with self.assertRaisesRegex(OtherMajor, 'version 2.0, and this is 1.0'):
+            Frames().feed(framed([2, 0, 'plan', PLAN]))
+
+    def test_what_is_out_of_form(self):
+        cases = [HEAD.pack(MOST + 1), HEAD.pack(3) + b'\xc1\xc1\xc1', framed(7), framed([1, 0, 'plan']), framed([1, 0, 'plan', []]),
+                 framed([1, 0, 'plan', {}]), framed(['1', 0, 'plan', PLAN]), framed([1, 0, 7, PLAN])]
+        for field, wrong in (('seq', -1), ('seq', 1.5), ('seq', True), ('seq', 1 << 50), ('life', ''), ('life', 'x' * 999),
+                             ('leases', [1]), ('leases', {'k': -1}), ('leases', {'': 1}), ('leases', {'k': None})):
+            cases.append(framed([1, 0, 'plan', dict(PLAN, **{field: wrong})]))
+        for data in cases:
+            with self.subTest(data=data[:60]), self.assertRaises(BadFrame):
+                Frames().feed(data)
+
+    def test_a_frame_too_large_is_not_written(self):
+        with self.assertRaises(BadFrame):
+            pack('plan', dict(PLAN, leases={'k%d' % number: 1 for number in range(60_000)}))
+
+    def test_noise_never_raises_anything_else(self):
+        chance, data = Random(1), pack('plan', PLAN)
+        for _ in range(3_000):
+            noise = bytearray(data)
+            for _ in range(chance.randint(1, 4)):
+                noise[chance.randrange(len(noise))] = chance.randrange(256)
+            try:
+                Frames().feed(bytes(noise))
+            except BadFrame as err:
+                self.assertNotIn('\n', str(err))
