Lab: Ctrl-C ends explore and mutants at once with what they have; loopback tidied

Cause: after an interrupt the results stood there at once, but the process waited 24 s for runs under way. Change: workers are let go; what loopback leaves out is said.

--- a/lilacdyke/lab/hunt.py
+++ b/lilacdyke/lab/hunt.py
@@ -41,7 +41,7 @@
             caught[futures[done]] = done.result()
             told(len(caught))
     except KeyboardInterrupt:
-        pass
+        runs.let_go(pool)
     finally:
         pool.shutdown(wait=False, cancel_futures=True)
     return {name: caught[name] for name in names if name in caught}
--- a/lilacdyke/lab/loopback.py
+++ b/lilacdyke/lab/loopback.py
@@ -167,49 +167,46 @@
     the scenario's own length."""
     from twisted.internet.epollreactor import EPollReactor
     from twisted.logger import globalLogBeginner
-    from .ground import _BEGUN, observe
-    if not _BEGUN:
-        try:
-            globalLogBeginner.beginLoggingTo([observe], discardBuffer=True, redirectStandardIO=False)
-        except Exception:
-            pass
+    from .ground import observe
+    globalLogBeginner.beginLoggingTo([observe], discardBuffer=True, redirectStandardIO=False)
     reactor = EPollReactor()
     ground = Ground(scenario, seed, reactor)
-    stage = None
-    try:
-        with tempfile.TemporaryDirectory() as ground.folder:
-            ground.stage = stage = staging.Stage(scenario, seed, ground)
-            stage.strangers = strangers
-            stop, leave, end = stage.spans
-            if seconds is not None:
-                extra = int(seconds * 1e6) + staging.SETTLE - stop
-                stop, leave, end = stop + extra, leave + extra, end + extra
-            ground.later(stop, stage.stop_clients)
-            ground.later(leave, stage.finish)
-            ground.later(end, reactor.stop)
-            if watch is not None:
-                def again():
-                    watch(stage)
-                    ground.later(1_000_000, again)
-                ground.later(1_000_000, again)
-            stage.begin()
-            try:
-                reactor.run()
-            finally:
-                for place in stage.places:
-                    if place.running is not None:
-                        place.running.kill()
-    finally:
-        reactor.disconnectAll() if hasattr(reactor, 'disconnectAll') else None
+    with tempfile.TemporaryDirectory() as ground.folder:
+        ground.stage = stage = staging.Stage(scenario, seed, ground)
+        stage.strangers = strangers
+        stop, leave, end = stage.spans
+        if seconds is not None:
+            extra = int(seconds * 1e6) + staging.SETTLE - stop
+            stop, leave, end = stop + extra, leave + extra, end + extra
+        ground.later(stop, stage.stop_clients)
+        ground.later(leave, stage.finish)
+        ground.later(end, reactor.stop)
+        if watch is not None:
+            ground.later(1_000_000, each_second, ground, watch)
+        stage.begin()
+        try:
+            reactor.run()
+        finally:
+            for place in stage.places:
+                if place.running is not None:
+                    place.running.kill()
     return stage
 
 
+def each_second(ground, watch):
+    """Let somebody look, again and again."""
+    watch(ground.stage)
+    ground.later(1_000_000, each_second, ground, watch)
+
+
 def one(scenario, seed=None, rows=False):
     """Play and judge one scenario on loopback."""
     scenario = real(scenario)
     seed = scenario.seed if seed is None else seed
     begun = time.perf_counter()
     stage = play(scenario, seed)
+    if stage.faults.left_out:
+        print('left out on loopback: %s' % ', '.join(sorted(set(stage.faults.left_out))), file=sys.stderr)
     seen = stage.witness.rows
     return Outcome(name=scenario.name, seed=seed, figures=figures(scenario, seen),
                    broken=[(found.rule, found.when, found.text) for found in judge(scenario, seen)],
--- a/lilacdyke/lab/runs.py
+++ b/lilacdyke/lab/runs.py
@@ -4,6 +4,7 @@
 """
 
 import gc
+import multiprocessing
 import os
 import signal
 import sys
@@ -83,12 +84,19 @@
             each(numbers[done], outcome)
         return True
     except KeyboardInterrupt:
-        pool.shutdown(wait=False, cancel_futures=True)
+        let_go(pool)
         return False
     finally:
         pool.shutdown(wait=False, cancel_futures=True)
 
 
+def let_go(pool):
+    """Somebody is waiting for the end: runs under way are dropped."""
+    pool.shutdown(wait=False, cancel_futures=True)
+    for process in multiprocessing.active_children():
+        process.terminate()
+
+
 def deaf():
     """Ctrl-C is for the process that a person started: it lets the workers go."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
