--- a/tests/lab/test_runs.py
+++ b/tests/lab/test_runs.py
@@ -12,7 +12,7 @@
 from lilacdyke.__main__ import main
 from lilacdyke.lab import draw, hunt, loopback, mutants, report, runs, scenario as scenarios, witness
 
-FOUND = os.path.join(os.path.dirname(__file__), 'found')
+KEPT = os.path.join(os.path.dirname(__file__), 'kept')
 
 
 class Same(unittest.TestCase):
@@ -37,7 +37,7 @@
     def setUpClass(cls):
         given = [(name, scenarios.load(name)) for name in scenarios.named() if name != 'fleet']     # that one takes minutes
         given += [('seed %d' % seed, draw.scenario(seed)) for seed in range(16)]
-        given += [(name, scenarios.load(os.path.join(FOUND, name))) for name in sorted(os.listdir(FOUND))]
+        given += [(name, scenarios.load(os.path.join(KEPT, name))) for name in sorted(os.listdir(KEPT))]
         cls.names, cls.ended = [name for name, _ in given], {}
         runs.many([(scenarios.write(made), made.seed, None) for _, made in given], runs.cores(0), cls.ended.__setitem__)
 
