Operators' door: suspend, resume, drain, activate, readyz

Cause: nobody listened at the operators' address, so /ready stayed yes 4 s after the call to drain. Ruled out: the drain's own order (SIGTERM's works); discovery's lists (a ban must outlive them). The module keeps servers out by hand beside the list's state; the node has a phase 'away'.

--- a/lilacdyke/__main__.py
+++ b/lilacdyke/__main__.py
@@ -3,12 +3,13 @@
 Owns the words on the command line and the exit codes. Must never do what a sub-command's own module does.
 """
 
+import os
 import sys
 
 import click
 
 from . import __version__
-from .decode import page
+from .decode import address, page
 from .values import BadLine
 
 
@@ -24,6 +25,17 @@
         sys.exit(2)
 
 
+def with_operator(place):
+    """The page, with the operators' address that the environment names if the page names none."""
+    try:
+        if not place.operator and os.environ.get('EDGE_OPERATOR'):
+            place.operator = address(os.environ['EDGE_OPERATOR'])
+    except BadLine as err:
+        click.echo('lilacdyke: EDGE_OPERATOR: %s' % err, err=True)
+        sys.exit(2)
+    return place
+
+
 config = click.option('--config', envvar='EDGE_CONFIG', type=click.Path(),
                       help='The node\'s JSON page; by default what EDGE_CONFIG names.')
 
@@ -41,7 +53,7 @@
     """Run one node until SIGTERM has drained it."""
     from .net import logs, node
     logs.begin(log_level)
-    sys.exit(node.serve(read(config), config))
+    sys.exit(node.serve(with_operator(read(config)), config))
 
 
 @main.command()
--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -11,6 +11,7 @@
     ('watch',)                ask for the list's changes; ('wake', when) pull again then
     ('close', server)         close the connections to it that are idle
     ('log', text)             a line for staff
+The host's operators call suspend and resume.
 The host passes the first committed answer on by itself. Times are whole tenths of a millisecond.
 """
 
@@ -33,6 +34,7 @@
 BURST = 4               # transactions that a tenant may be ahead of its share, where that is small
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
 STRAIN = 0.25           # share of hops ending late or badly from which a jam is fought
+BANS = 256              # servers that are, or lately were, out by hand
 MASK = (1 << 64) - 1
 
 
@@ -126,14 +128,15 @@
 class Server:
     """A cache server or the origin, as this node knows it. The host makes it when a list first names it."""
 
-    __slots__ = ('name', 'origin', 'mark', 'state', 'weight', 'started', 'zone', 'cell', 'out', 'share',
-                 'doubt', 'raised', 'pace', 'credit', 'dated', 'bear', 'eased',
+    __slots__ = ('name', 'origin', 'mark', 'state', 'told', 'weight', 'started', 'zone', 'cell', 'out',
+                 'share', 'doubt', 'raised', 'pace', 'credit', 'dated', 'bear', 'eased',
                  'lag', 'heard', 'last', 'every')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
         self.mark = crc32(name.encode()) << 32
         self.state, self.weight, self.started, self.zone, self.cell = 'gone', 1, None, 0, 0
+        self.told = 'gone'      # its state by the list; its own is 'banned' if it is out by hand besides
         self.out = 0            # hops of this node that wait there
         self.share = 1          # part of its own keys' reads that it gets; under 1 while set aside
         self.doubt = 0          # hops unanswered in a row
@@ -210,6 +213,7 @@
         self.hint = min(terms.max_return, self.goal)    # when to come back if turned away; 0: not told
         self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
         self.caches, self.origin, self.known = [], None, {}
+        self.hand = {}          # by name, servers out by hand: since when, and until when, None: still
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0   # ready: looked at next
         self.logs, self.idle = deque(), deque()     # idle: servers whose connections may not be worth keeping
         self.last, self.every, self.often = 0, 0, True  # the last transaction; how far apart; whether close
@@ -255,6 +259,9 @@
         self.alarm(self.watch_at, None)
 
     def list_entry(self, now, server, state, weight, started, zone, cell):
+        since, back = self.hand.get(server.name, (0, 0))
+        if back and (started is None or started < since):
+            started = back      # guards against a list that has not heard that it was restarted while out
         if started != server.started or server.state == 'gone':
             # A restart under the same id is a fresh, cold server: what was known of the old one is void.
             server.share, server.doubt, server.raised, server.eased = 1, 0, now, now
@@ -263,9 +270,47 @@
             server.lag, server.last = self.lag, now
             server.pace = Pace(self.unit)
             server.credit, server.dated = self.chance(), now
-        server.state, server.weight, server.zone, server.cell = state, weight, zone, cell
+        server.told, server.weight, server.zone, server.cell = state, weight, zone, cell
+        server.state = 'banned' if back is None and state == 'ready' else state
         self.known[server.name] = server
 
+    def suspend(self, now, name):
+        """Somebody takes a cache out, whatever lists say until it is resumed. Whether it is out now."""
+        server = self.known.get(name)
+        if self.banned(name):
+            return True
+        if server is None or server.origin:
+            return False
+        over = [old for old in self.hand if not self.banned(old)] if len(self.hand) >= BANS else []
+        if len(self.hand) - len(over[:1]) >= BANS:
+            return False
+        for old in over[:1]:
+            del self.hand[old]
+        self.hand.pop(name, None)
+        self.hand[name] = (now, None)
+        self.list_remembered(now, [self.row(server)])
+        return True
+
+    def resume(self, now, name):
+        """It is back: it was restarted meanwhile, so it is fresh and cold. Whether it was known."""
+        server = self.known.get(name)
+        if not self.banned(name):
+            return server is not None and not server.origin
+        self.hand[name] = (self.hand[name][0], now)
+        if server:
+            row, server.state = self.row(server), 'gone'
+            self.list_remembered(now, [row])
+        return True
+
+    def banned(self, name):
+        """Whether a server is out by hand."""
+        return self.hand.get(name, (0, 0))[1] is None
+
+    @staticmethod
+    def row(server):
+        """A server's entry as the list last told it."""
+        return server, server.told, server.weight, server.started, server.zone, server.cell
+
     def relist(self):
         # Gone for good: a hop that is out, or was, still holds its server; the next list looks again.
         self.known = {name: s for name, s in self.known.items() if s.state != 'gone' or s.out}
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -111,10 +111,8 @@
 
     def hint(self):
         """A client that asks whether to send its body is told to."""
-        message = self.reader.message
-        asks = message and message.fields.pop(b'expect', b'').lower() == b'100-continue'
-        if asks and not self.reader.buffer:
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        if self.reader.hint():
+            self.transport.write(http.CONTINUE)
 
     def refuse(self, status, text):
         """The request cannot be read: what follows it cannot either."""
@@ -281,15 +279,16 @@
         if client:
             client.advance()
 
-    def close_idle(self):
-        """Ask clients between requests to go."""
+    def close_idle(self, rested=0):
+        """Ask clients to go that have been between requests for so long."""
+        before = self.clock() - rested
         for client in [*self.phases[FRESH].values(), *self.phases[RESTING].values()]:
-            client.overdue()
+            if client.since <= before:
+                client.overdue()
 
     def requested(self, client, message):
         """A whole request: to the node, or answered here."""
-        method, target, _ = message.parts
-        path = target.partition(b'?')[0]
+        method, path = message.parts[0], message.path
         if path == b'/ready':
             status, text = (200, 'ready\n') if self.node.ready() else (503, 'not ready\n')
             client.reply(http.answer(status, self.stay(client), text))
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -18,6 +18,8 @@
 OWN = frozenset((b'connection', b'keep-alive', b'proxy-connection', b'transfer-encoding', b'te', b'trailer',
                  b'upgrade', b'expect', b'content-length', b'req-deadline'))
 SINGLE = frozenset((b'host', b'req-id', b'req-deadline', b'req-owner', b'idempotency-key', b'srv-declined'))
+ABSOLUTE = re.compile(rb'(?i:https?)://[^/?#]*')
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 REASONS = {200: 'OK', 400: 'Bad Request', 404: 'Not Found', 405: 'Method Not Allowed', 408: 'Request Timeout',
            409: 'Conflict', 413: 'Content Too Large', 431: 'Request Header Fields Too Large', 500: 'Internal Server Error',
            502: 'Bad Gateway', 503: 'Service Unavailable', 504: 'Gateway Timeout'}
@@ -52,6 +54,14 @@
         value = self.fields.get(name)
         return {word.strip().lower() for word in value.split(b',')} - {b''} if value else ()
 
+    @property
+    def path(self):
+        """What the request is about, without scheme, host and query."""
+        target = self.parts[1]
+        if not target.startswith(b'/'):
+            target = ABSOLUTE.sub(b'', target, 1) or b'/'
+        return target.partition(b'?')[0]
+
     @property
     def lasting(self):
         """Whether the connection may carry another message after this one."""
@@ -175,6 +185,11 @@
         """How long the body of the present message is, as far as it is known."""
         return max(self.need, len(self.message.body) + len(self.buffer)) if self.message else 0
 
+    def hint(self):
+        """Whether the sender of the present message asks, and was not yet told, to go on with its body."""
+        asks = self.message and self.message.fields.pop(b'expect', b'').lower() == b'100-continue'
+        return bool(asks and not self.buffer)
+
     def feed(self, data):
         self.buffer += data
 
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -23,9 +23,11 @@
 from ..logic import Router, Server
 from ..values import SECOND, BadLine, seconds
 
-STARTING, SERVING, DRAINING, STOPPED = 'starting', 'serving', 'draining', 'stopped'
-SPARE, LEAST = 24, 4                    # descriptors for all but clients and caches; what each has at least
+# away: an operator has had the node emptied; it lives on and takes whoever still comes.
+STARTING, SERVING, AWAY, DRAINING, STOPPED = 'starting', 'serving', 'away', 'draining', 'stopped'
+SPARE, LEAST = 32, 4                    # descriptors for all but clients and caches; what each has at least
 COMING = 5_000                          # after SIGTERM clients go on coming for less than this
+RESTED = 2_500                          # idle so long, a connection is unlikely to be asked on while it closes
 FIGURES = 10 * SECOND                   # between two lines of figures
 
 
@@ -70,6 +72,8 @@
         self.caches = Caches(reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault,
                              self.returned)
         self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self)
+        self.desk = None                # operators' door
+        self.emptied = 0                # when the node was last told to empty itself
         self.pulling = False
         self.counts = Counter()
 
@@ -92,6 +96,10 @@
             warn('remembered list not read', reason=err)
         self.front.listen(self.reactor, *self.place.listen)
         self.phase = SERVING
+        if self.place.operator:
+            from .operator import Desk      # what is off is not imported
+            self.desk = Desk(self, self.deadlines, self.clock)
+            self.desk.listen(self.reactor, *self.place.operator)
         if self.discovery.pushed:
             self.discovery.open()
         self.settle()
@@ -103,13 +111,17 @@
         """Whether clients should come here."""
         return self.phase == SERVING and bool(self.router.caches)
 
+    def can_serve(self):
+        """Whether this process serves whoever comes, wherever clients are sent."""
+        return self.phase in (SERVING, AWAY)
+
     def leaving(self):
         """Whether clients are asked to close."""
         return self.phase != SERVING
 
     def drain(self, signum=signal.SIGTERM):
         """SIGTERM: answer all that is taken and all that still comes, then exit."""
-        if self.phase == SERVING:
+        if self.phase in (SERVING, AWAY):
             self.phase = DRAINING
             say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table))
             self.deadlines.at(self.clock() + COMING, self.leave, self.clock())
@@ -117,7 +129,7 @@
     def reread(self, path):
         """SIGHUP: the page may name another address of discovery. All else in it is for the next start; a page
         that cannot be read changes nothing."""
-        if self.phase not in (SERVING, DRAINING):
+        if self.phase not in (SERVING, AWAY, DRAINING):
             return
         try:
             where = page(path).discovery
@@ -140,6 +152,44 @@
         else:
             self.deadlines.at(now + COMING // 20, self.leave, since)
 
+    # --- by hand ----------------------------------------------------------------------------------------
+
+    def empty(self):
+        """An operator has clients sent away; whoever still comes is served."""
+        if self.phase == SERVING:
+            self.phase, self.emptied = AWAY, self.clock()
+            say('away', open=len(self.errands), clients=len(self.front.table))
+            self.deadlines.at(self.emptied + COMING, self.send_away, self.emptied)
+        return self.phase in (AWAY, DRAINING)
+
+    def activate(self):
+        """An operator has clients come again."""
+        if self.phase == AWAY:
+            self.phase = SERVING
+            say('active')
+        return self.phase == SERVING
+
+    def send_away(self, since):
+        """While the node is emptied: who rests on a connection is asked to go, who just rested there a little later."""
+        if self.phase == AWAY and since == self.emptied:
+            self.front.close_idle(RESTED if self.clock() < since + 4 * COMING else 0)
+            self.deadlines.at(self.clock() + COMING // 5, self.send_away, since)
+
+    def suspend(self, name):
+        """An operator takes a cache out. Whether it is known."""
+        return self.by_hand('suspended', name, self.router.suspend(self.clock(), name))
+
+    def resume(self, name):
+        """An operator brings it back. Whether it is known."""
+        return self.by_hand('resumed', name, self.router.resume(self.clock(), name))
+
+    def by_hand(self, what, name, done):
+        if done:
+            self.caches.tidy()
+            say(what, server=name, caches=len(self.router.caches))
+            self.settle()
+        return done
+
     # --- clients ----------------------------------------------------------------------------------------
 
     def take(self, client, message, row, tenant, key, limit, since):
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -19,29 +19,36 @@
 
 
 class AnswersFirst:
-    """The order of a reactor's turn: what servers answer is read before what clients ask, as work that is nearly done
-    must not wait for more of it."""
+    """The order of a reactor's turn: operators first, as they wait for a second at most; then what servers answer is
+    read before what clients ask, as work that is nearly done must not wait for more of it."""
 
     def doPoll(self, timeout):
         try:
             ready = self._poller.poll(-1 if timeout is None else timeout, len(self._selectables))
         except InterruptedError:
             return
-        rest = []
+        for turn in self.in_order(ready):
+            for fd, event in turn:
+                selectable = self._selectables.get(fd)
+                if selectable is not None:
+                    self._doReadOrWrite(selectable, fd, event)
+
+    def in_order(self, ready):
+        """What is ready: operators', servers', the rest."""
+        turns = [], [], []
         for fd, event in ready:
             selectable = self._selectables.get(fd)
-            if isinstance(selectable, Client):
-                self._doReadOrWrite(selectable, fd, event)
-            else:
-                rest.append((fd, event))
-        for fd, event in rest:
-            selectable = self._selectables.get(fd)
-            if selectable is not None:
-                self._doReadOrWrite(selectable, fd, event)
+            turns[0 if urgent(selectable) else 1 if isinstance(selectable, Client) else 2].append((fd, event))
+        return turns
 
     doIteration = doPoll
 
 
+def urgent(selectable):
+    """Whether a connection, or a listening socket, is one that comes before all others."""
+    return getattr(getattr(selectable, 'protocol', None) or getattr(selectable, 'factory', None), 'urgent', False)
+
+
 class Reactor(AnswersFirst, EPollReactor):
     """Twisted's own on epoll, with that order. It also spares each event the logging context that nobody here uses;
     what an event raises is caught and logged below this."""
