Upgrades without a gap: the old process hands its listening socket to the new

Cause: the second process could not listen at the node's address and exited with 1; the old one then ended and 18 to 31 requests were lost with its queue. Ruled out: SO_REUSEPORT alone (two queues; what lies in the closing one is reset), start time (0.7 s) and memory (47 of 80 MB for two).

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -213,6 +213,7 @@
         self.hint = min(terms.max_return, self.goal)    # when to come back if turned away; 0: not told
         self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
         self.caches, self.origin, self.known = [], None, {}
+        self.handed = False     # whether another process of this node has its cold budgets
         self.hand = {}          # by name, servers out by hand: since when, and until when, None: still
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0   # ready: looked at next
         self.logs, self.idle = deque(), deque()     # idle: servers whose connections may not be worth keeping
@@ -306,6 +307,21 @@
         """Whether a server is out by hand."""
         return self.hand.get(name, (0, 0))[1] is None
 
+    def legacy(self, now):
+        """What another process of this node must go on with, as plain values with ages for times: the best of
+        warm caches, and by name start, cold credit, what it bears beyond what is out, and its wait."""
+        return [self.usual, {s.name: [None if s.started is None else now - s.started, s.credit,
+                                      max(1, s.bear - s.out), s.lag] for s in self.known.values()}]
+
+    def inherit(self, now, usual, servers):
+        """Go on with that. Its cold credit is spent here and nowhere else."""
+        self.usual = usual
+        for name, (age, credit, bear, lag) in servers.items():
+            server = self.known.get(name)
+            if server:
+                server.started = None if age is None else now - age
+                server.credit, server.dated, server.bear, server.lag = min(1, credit), now, bear, lag
+
     @staticmethod
     def row(server):
         """A server's entry as the list last told it."""
@@ -753,7 +769,7 @@
             return True
         self.survey(now)
         rate = max(1 / self.terms.nodes, self.usual * server.weight * part * self.terms.fall_multiple / 2)
-        gained = rate * (now - server.dated) / self.terms.fall_window
+        gained = 0 if self.handed else rate * (now - server.dated) / self.terms.fall_window
         server.credit, server.dated = min(max(1, rate / 2), server.credit + gained), now
         return server.credit >= 1
 
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -315,6 +315,12 @@
             self.make_way()
         return self.open < self.budget
 
+    def shrink(self, spare):
+        """Another process of this node has the rest: what is idle goes, and little more is opened."""
+        for link in list(self.resting.values()):
+            link.close()
+        self.budget = self.open + spare
+
     def make_way(self):
         """The longest idle connection goes, if there is one."""
         if self.resting:
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -16,6 +16,7 @@
 SILENCE = 30_000                        # a watch has a line every 2 s; after this it is dead
 ANSWERED = 10_000                       # for its head: discovery is on this machine and answers at once
 FIRST, MOST = 1_000, 15_000             # waits before the next try: the first, doubling, and the longest
+WORDS = {state: word for word, state in STATES.items()}
 MAX_LIST = 4 << 20                      # one line of the watch, in bytes
 
 
@@ -36,6 +37,13 @@
         if self.state is None or not self.name or not 0 <= self.weight < 1e9 or not 0 <= self.started < 1e15:
             raise BadLine('entry out of form: %r' % row)
 
+    def row(self):
+        """The entry as discovery words it."""
+        host, port = self.address
+        return {'instanceId': self.name, 'hostPort': ('[%s]:%d' if ':' in host else '%s:%d') % (host, port), 'zone': self.zone,
+                'machineType': self.kind, 'cell': self.cell, 'lifecycle': WORDS[self.state], 'weight': self.weight,
+                'startedAtMs': self.started}
+
 
 def read_list(tree):
     """A list or changes to one: (version, whether it is whole, entries)."""
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -4,6 +4,8 @@
 transaction, end a connection that owes an answer, or let bad input raise out of it.
 """
 
+from socket import AF_INET, AF_INET6
+
 from twisted.internet.protocol import Factory, Protocol
 
 from . import http
@@ -168,11 +170,15 @@
         self.tenants = {t.name.encode(): row for row, t in enumerate(terms.tenants)}
         self.phases = {phase: {} for phase in (FRESH, RESTING, HALF, ASKED, PARTING)}   # the longest there first
         self.port, self.full, self.shut = None, False, False
+        self.yielded = False            # another process of this node accepts
         self.came = 0                   # when the last client connected
 
-    def listen(self, reactor, host, port):
-        """Accept clients from now on."""
-        self.port = reactor.listenTCP(port, self, backlog=1024, interface=host)
+    def listen(self, reactor, host, port, given=None):
+        """Accept clients from now on, at an address or at a listening socket that another process gave."""
+        if given is None:
+            self.port = reactor.listenTCP(port, self, backlog=1024, interface=host)
+        else:
+            self.port = reactor.adoptStreamPort(given, AF_INET6 if ':' in host else AF_INET, self)
         self.port.numberAccepts = 1
         guard(self.port, self.node.router.late, self.refusal, self.crowded)
         self.look()
@@ -239,10 +245,15 @@
         full = len(self.table) >= self.budget
         if full != self.full and not self.shut:
             self.full = full
-            (self.port.stopReading if full else self.port.startReading)()
+            self.see_to_door()
             if full:
                 self.deadlines.at(self.clock() + LOOK // 10, self.press, 0)
 
+    def see_to_door(self):
+        """Look at who waits at the door, or leave them there."""
+        if not self.shut:
+            (self.port.stopReading if self.full or self.yielded else self.port.startReading)()
+
     def crowded(self):
         """No descriptor is left for who waits at the door, though the budget has one: something else holds them. Guards
         against clients that wait there until their time is up while idle connections hold descriptors; and against
@@ -254,8 +265,7 @@
         self.deadlines.at(self.clock() + LOOK // 100, self.uncrowded, 0)
 
     def uncrowded(self, _):
-        if not self.full and not self.shut:
-            self.port.startReading()
+        self.see_to_door()
 
     def shut_door(self):
         """Accept nobody any more."""
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -7,10 +7,13 @@
 """
 
 import gc
+import os
 import signal
 from collections import Counter
 from random import Random
 
+from twisted.internet.error import CannotListenError
+
 from . import http
 from .caches import NOTES, Caches
 from .discovery import Discovery, read_list, started
@@ -63,17 +66,18 @@
         self.offset = self.clock() - int(system.wall() * SECOND)
         self.chance = Random(place.seed).random
         self.router = Router(place.terms, place.seed, place.rank)
-        self.servers = {}
+        self.servers, self.entries = {}, {}         # by name: the module's objects; what the list last said
         self.errands, self.passages = Table(), Table()
         self.ids = set()                # what clients call the transactions that are open
         self.deadlines = Deadlines(self.clock, reactor.callLater)
-        budget = max(LEAST, (self.descriptors() - SPARE) // 2)
+        budget = self.part(self.descriptors() - SPARE)
         self.front = Front(self, self.deadlines, self.clock, place.terms, budget)
         self.caches = Caches(reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault,
                              self.returned)
         self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self)
         self.desk = None                # operators' door
-        self.emptied = 0                # when the node was last told to empty itself
+        self.gone_away, self.emptied = False, 0     # whether operators have it emptied, and since when
+        self.kin, self.exit = None, 0   # links to other processes of this node; the exit code
         self.pulling = False
         self.counts = Counter()
 
@@ -87,19 +91,42 @@
 
     # --- phases -----------------------------------------------------------------------------------------
 
-    def start(self):
-        """Take the remembered list, listen, and open the watch."""
-        try:
-            self.discovery.version, _, entries = read_list(self.place.known)
-            self.remember(entries)
-        except BadLine as err:
-            warn('remembered list not read', reason=err)
-        self.front.listen(self.reactor, *self.place.listen)
-        self.phase = SERVING
+    def start(self, folder=None):
+        """Begin; where operators have a door, first ask in this folder whether a process of this node is there."""
         if self.place.operator:
             from .operator import Desk      # what is off is not imported
             self.desk = Desk(self, self.deadlines, self.clock)
             self.desk.listen(self.reactor, *self.place.operator)
+        if self.place.operator and folder:
+            from .handover import Kin
+            self.kin = Kin(self, self.reactor, self.deadlines, self.clock, folder, self.descriptors(), SPARE)
+            self.kin.ask(self.begin_or_end)
+        else:
+            self.begin(None, None)
+
+    def begin_or_end(self, told, fd):
+        """Begin; a start that fails ends the program."""
+        try:
+            self.begin(told, fd)
+        except CannotListenError as err:
+            warn('cannot listen', reason=err)
+            self.phase, self.exit = STOPPED, 1
+            self.reactor.stop()
+
+    def begin(self, told, fd):
+        """Take the remembered list, or what an elder gave, listen, and open the watch."""
+        try:
+            self.discovery.version, _, entries = read_list(told['list'] if told else self.place.known)
+            self.remember(entries)
+        except BadLine as err:
+            warn('remembered list not read', reason=err)
+        if told:
+            self.inherit(told)
+        self.front.listen(self.reactor, *self.place.listen, *([fd] if fd is not None else []))
+        self.phase = AWAY if self.gone_away else SERVING
+        if self.kin:
+            self.share_out()
+            self.kin.serves()
         if self.discovery.pushed:
             self.discovery.open()
         self.settle()
@@ -109,7 +136,8 @@
 
     def ready(self):
         """Whether clients should come here."""
-        return self.phase == SERVING and bool(self.router.caches)
+        here = self.phase in (SERVING, AWAY) or self.phase == DRAINING and self.succeeded
+        return here and not self.gone_away and bool(self.router.caches)
 
     def can_serve(self):
         """Whether this process serves whoever comes, wherever clients are sent."""
@@ -121,9 +149,17 @@
 
     def drain(self, signum=signal.SIGTERM):
         """SIGTERM: answer all that is taken and all that still comes, then exit."""
-        if self.phase in (SERVING, AWAY):
+        if self.phase == STARTING:
+            self.phase = STOPPED
+            self.reactor.stop()
+        elif self.phase in (SERVING, AWAY):
             self.phase = DRAINING
-            say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table))
+            say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table),
+                succeeded=self.succeeded)
+            if self.kin:
+                self.kin.succession.end()
+            if self.succeeded:
+                self.front.shut_door()
             self.deadlines.at(self.clock() + COMING, self.leave, self.clock())
 
     def reread(self, path):
@@ -141,7 +177,8 @@
     def leave(self, since):
         """Clients have stopped coming: ask those that are idle to go, and exit once nothing is owed."""
         now = self.clock()
-        self.front.close_idle()
+        # With an heir nobody comes anew, so there is time: who rests for long is unlikely to ask just now.
+        self.front.close_idle(RESTED if self.succeeded and now < since + 4 * COMING else 0)
         if now >= min(self.front.came, since + COMING) + COMING // 2:
             self.front.shut_door()
         if self.front.shut and not len(self.front.table) or now >= since + 2 * COMING + self.front.slowest:
@@ -156,6 +193,7 @@
 
     def empty(self):
         """An operator has clients sent away; whoever still comes is served."""
+        self.gone_away = True
         if self.phase == SERVING:
             self.phase, self.emptied = AWAY, self.clock()
             say('away', open=len(self.errands), clients=len(self.front.table))
@@ -164,10 +202,11 @@
 
     def activate(self):
         """An operator has clients come again."""
+        self.gone_away = False
         if self.phase == AWAY:
             self.phase = SERVING
             say('active')
-        return self.phase == SERVING
+        return self.phase == SERVING or self.succeeded
 
     def send_away(self, since):
         """While the node is emptied: who rests on a connection is asked to go, who just rested there a little later."""
@@ -190,6 +229,62 @@
             self.settle()
         return done
 
+    # --- another process of this node -------------------------------------------------------------------
+
+    @property
+    def succeeded(self):
+        """Whether another process takes this node's clients."""
+        return bool(self.kin) and self.kin.succeeded
+
+    def bound(self, verb, name=None):
+        """A call that an operator made at the other process binds this one too."""
+        getattr(self, verb)(*([] if name is None else [name]))
+
+    def door_fd(self):
+        """The listening socket, while there is one to give."""
+        return self.front.port.fileno() if self.phase in (SERVING, AWAY) and not self.succeeded else None
+
+    def holds(self):
+        """Descriptors that this process holds or may still take."""
+        return SPARE + len(self.front.table) + self.caches.open
+
+    @staticmethod
+    def part(room):
+        """What clients have of so many descriptors, and servers as well."""
+        return max(LEAST, room // 2)
+
+    def share_out(self):
+        """Who takes clients, and how many descriptors are this process's, may have changed."""
+        self.router.handed = self.front.yielded = self.succeeded
+        if self.succeeded:
+            self.front.budget = max(LEAST, len(self.front.table))
+            self.caches.shrink(LEAST)
+        else:
+            self.front.budget = self.caches.budget = self.part(self.kin.succession.room(0))
+        if self.front.port:
+            self.front.see_to_room()
+            self.front.see_to_door()
+
+    def legacy(self):
+        """What an heir must know, as plain values; times as ticks of Unix time."""
+        usual, servers = self.router.legacy(self.clock())
+        hand = {name: [since - self.offset, back and back - self.offset]
+                for name, (since, back) in self.router.hand.items()}
+        listed = [entry.row() for name, entry in self.entries.items() if name in self.router.known]
+        return {'away': self.gone_away, 'hand': hand, 'usual': usual, 'servers': servers,
+                'list': {'generation': self.discovery.version or 0, 'reset': True, 'instances': listed}}
+
+    def inherit(self, told):
+        """Go on with what an elder gave."""
+        try:
+            self.gone_away = told['away'] is True
+            for name, (since, back) in told['hand'].items():
+                self.router.hand[name] = (since + self.offset, back and back + self.offset)
+            self.router.list_remembered(self.clock(), [self.router.row(s) for s in self.router.known.values()])
+            self.router.inherit(self.clock(), told['usual'], told['servers'])
+        except (KeyError, TypeError, ValueError, AttributeError) as err:
+            warn('hand-over not read', reason=repr(err))
+
     # --- clients ----------------------------------------------------------------------------------------
 
     def take(self, client, message, row, tenant, key, limit, since):
@@ -293,6 +388,7 @@
         for server in [server for server in self.servers.values() if server.name not in self.router.known]:
             # The module has forgotten it, so no hop is out there. Guards against growing with all that ever were.
             del self.servers[server.name]
+            self.entries.pop(server.name, None)
             self.caches.forget(server)
         self.caches.tidy()
         say('list', whole=whole, entries=len(rows), caches=len(self.router.caches))
@@ -308,6 +404,7 @@
         if server is None:
             server = self.servers[entry.name] = Server(entry.name, entry.kind == self.place.origin_kind)
         self.caches.listed(server, entry.address)
+        self.entries[entry.name] = entry
         return (server, entry.state, entry.weight, started(entry, self.offset), entry.zone, entry.cell)
 
     def list_lost(self):
@@ -413,22 +510,22 @@
 
 def serve(place, path):
     """Run a node, whose page is at this path, until it has drained."""
-    from twisted.internet.error import CannotListenError
     from twisted.internet.main import installReactor
     from twisted.logger import STDLibLogObserver, globalLogBeginner
     globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
     reactor = Reactor()
+    reactor.shared = place.operator is not None
     installReactor(reactor)
     node = Node(place, reactor)
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, lambda n, _: reactor.callFromThread(node.drain, n))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reread, path))
     try:
-        node.start()
+        node.start(os.environ.get('TMPDIR'))
     except CannotListenError as err:
         warn('cannot listen', reason=err)
         return 1
     gc.collect()
     gc.freeze()         # what the start has made stays for good: the collector need not go through it again
     reactor.run(installSignalHandlers=False)
-    return 0
+    return node.exit
--- a/lilacdyke/net/operator.py
+++ b/lilacdyke/net/operator.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from . import http
+from .node import STARTING
 from .http import BadMessage, Reader
 from .logs import LOG
 from .tables import Table
@@ -119,29 +120,43 @@
             call, name = HANDS.get(path[3]), unquote(path[2].decode('latin-1'))
         if call == 'readyz':
             allowed = b'GET'
-        if not call:
+        if self.node.phase == STARTING:
+            reply(503, 'not ready')
+        elif not call:
             reply(404, 'no such call')
         elif method != allowed:
             reply(405, '%s only' % allowed.decode(), 'Allow: %s\r\n' % allowed.decode())
         else:
             getattr(self, call)(reply, name)
 
+    def bind(self, verb, name, reply, status, text):
+        """Answer once a call binds the other process of this node too, if there is one."""
+        kin = self.node.kin
+        if kin and status == 200:
+            kin.bind(verb, name, lambda: reply(status, text))
+        else:
+            reply(status, text)
+
     def readyz(self, reply, _):
         """Whether this process can serve."""
         reply(*((200, 'ready') if self.node.can_serve() else (503, 'not ready')))
 
     def drain(self, reply, _):
         """Empty the node."""
-        reply(*((200, 'clients are sent away') if self.node.empty() else (503, 'the node is ending')))
+        done = self.node.empty()
+        self.bind('empty', None, reply, *((200, 'clients are sent away') if done else (503, 'not now')))
 
     def activate(self, reply, _):
         """Let clients come again."""
-        reply(*((200, 'clients may come') if self.node.activate() else (503, 'the node is ending')))
+        done = self.node.activate()
+        self.bind('activate', None, reply, *((200, 'clients may come') if done else (503, 'not now')))
 
     def suspend(self, reply, name):
         """Take a cache server out."""
-        reply(*((200, 'out') if self.node.suspend(name) else (404, 'no such cache server')))
+        done = self.node.suspend(name)
+        self.bind('suspend', name, reply, *((200, 'out') if done else (404, 'no such cache server')))
 
     def resume(self, reply, name):
         """Use a cache server again."""
-        reply(*((200, 'in use') if self.node.resume(name) else (404, 'no such cache server')))
+        done = self.node.resume(name)
+        self.bind('resume', name, reply, *((200, 'in use') if done else (404, 'no such cache server')))
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.protocol import ClientFactory, Protocol
-from twisted.internet.tcp import Client
+from twisted.internet.tcp import Client, Port
 
 LAST_RECEIVED = 52                      # where tcp_info tells when bytes last came, in bytes
 CLOSED = (7, 8)                         # states that it tells first: all is over, or the other side has closed
@@ -53,6 +53,15 @@
     """Twisted's own on epoll, with that order. It also spares each event the logging context that nobody here uses;
     what an event raises is caught and logged below this."""
 
+    shared = False                      # whether another process of this node may listen at the same address
+
+    def listenTCP(self, port, factory, backlog=50, interface=''):
+        """Listen; with nothing shut down at the end, as another process may hold the same socket."""
+        made = Port(port, factory, backlog, interface, self)
+        made._reusePort, made._shouldShutdown = self.shared, False
+        made.startListening()
+        return made
+
 
 class Outgoing(Protocol):
     """One end of a connection that this side opens."""
