--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -151,11 +151,12 @@
 class Hop:
     """One attempt of a transaction at a server."""
 
-    __slots__ = ('tx', 'server', 'index', 'sent', 'out', 'copy', 'ran', 'dropped')
+    __slots__ = ('tx', 'server', 'index', 'sent', 'out', 'copy', 'ran', 'dropped', 'weight')
 
     def __init__(self, tx, server, now, copy):
         self.tx, self.server, self.sent, self.copy = tx, server, now, copy
         self.index = len(tx.hops)
+        self.weight = 0 if tx.limit is None else 1      # of the server's hops out; 0: its body still comes
         self.out, self.ran, self.dropped = True, True, False    # ran: may have
 
 
@@ -164,13 +165,15 @@
 
     __slots__ = ('ref', 'profile', 'tenant', 'key', 'mark', 'taken', 'limit', 'write', 'read', 'hops', 'out',
                  'done', 'rank', 'next', 'delay', 'missed', 'held', 'again', 'excess', 'copied', 'queued',
-                 'twice')
+                 'twice', 'spent')
 
     def __init__(self, profile, tenant, key, mark, now, limit, write):
         self.ref = None         # the host's own mark
         self.profile, self.tenant, self.key, self.mark = profile, tenant, key, mark
-        self.taken, self.limit, self.write = now, limit, write
-        self.read = profile.effect == IDEMPOTENT and not write      # may be out twice, cut and sent anew
+        self.taken, self.limit, self.write = now, limit, write  # limit None: its body still comes
+        # May be out twice, cut and sent anew; what is too large to be held may not.
+        self.read = profile.effect == IDEMPOTENT and not write and limit is not None
+        self.spent = False      # its body has gone to a server and is not held
         self.hops, self.out, self.done = [], 0, False
         self.rank = None        # caches by rendezvous rank, once needed
         self.next, self.delay = None, 0     # when something more may be sent; the present copy delay
@@ -348,9 +351,29 @@
         if not write and not self.late(4 * (now - since)):      # copies cost a node that is behind most
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
         self.ready.append(tx)
-        self.alarm(limit, tx)
+        if limit is not None:
+            self.alarm(limit, tx)
         return tx
 
+    def body_spent(self, tx):
+        """A server gets the body, which is too large to be held: it goes nowhere else."""
+        tx.spent = True
+
+    def body_came(self, now, tx, limit):
+        """The last byte of a large request has come: its time runs, and its hop weighs from here on."""
+        tx.taken, tx.limit = now, limit
+        for hop in tx.hops:
+            if hop.out:
+                hop.sent, hop.weight = now, 1
+                self.count_out(hop.server, 1)
+        self.alarm(limit, tx)
+
+    def count_out(self, server, more):
+        """So many more hops of this node wait there."""
+        server.out += more
+        if not server.origin and server.state == 'ready':
+            self.total_out += more
+
     def worth_keeping(self):
         """How long a connection may lie idle before opening it anew would have cost less. Guards against full
         tables: a cache admits far fewer than hundreds of nodes hold when each keeps its own."""
@@ -371,9 +394,7 @@
         tx, server = hop.tx, hop.server
         hop.out = False
         tx.out -= 1
-        server.out -= 1
-        if not server.origin and server.state == 'ready':
-            self.total_out -= 1
+        self.count_out(server, -hop.weight)
         if not server.out and server.every > self.worth_keeping():
             self.idle.append(server)
         hop.ran = how not in NEVER_RAN
@@ -381,7 +402,7 @@
             self.answered(now, hop, lasted, how, note)
         elif how in ('spoilt', 'rejected'):
             server.doubt = 0        # it answers, whatever came of that on the way
-        elif (how in ('unreachable', 'lost') or how == 'expired' and now >= tx.limit
+        elif (how in ('unreachable', 'lost') or how == 'expired' and self.over(now, tx)
               or how == 'cancelled' and hop.dropped and lasted > 2 * server.lag):
             self.unanswered(now, server)
         elif how == 'refused':
@@ -573,7 +594,7 @@
         """What this transaction needs now, if anything."""
         if tx.done:
             return self.cancel(tx)
-        if now >= tx.limit:
+        if self.over(now, tx):
             return self.give_up(now, tx) if not tx.out else None
         if tx.held:
             return self.give_up(now, tx) if now >= self.patience(tx) else None
@@ -598,6 +619,11 @@
         """Until when a transaction may be held with nothing sent."""
         return min(tx.limit, tx.taken + tx.profile.goal)
 
+    @staticmethod
+    def over(now, tx):
+        """Whether its time is up; it has none while its body comes."""
+        return tx.limit is not None and now >= tx.limit
+
     def cancel(self, tx):
         """The loser of a race, or a hop whose client has gone, is not waited for."""
         if self.terms.may_cancel and tx.out:
@@ -775,9 +801,9 @@
 
     def permitted(self, now, tx, server):
         """The four rules, for one more hop of this transaction to this server."""
-        if tx.done or now >= tx.limit or len(tx.hops) >= self.terms.max_hops or server.state != 'ready':
+        if tx.done or self.over(now, tx) or len(tx.hops) >= self.terms.max_hops or server.state != 'ready':
             return False
-        if not self.cold_room(now, server) or tx.out and not tx.twice:
+        if tx.spent or not self.cold_room(now, server) or tx.out and not tx.twice:
             return False
         ran = [hop for hop in tx.hops if hop.ran]
         if not ran or tx.profile.effect == IDEMPOTENT:
@@ -794,11 +820,9 @@
         hop = Hop(tx, server, now, copy)
         tx.hops.append(hop)
         tx.out += 1
-        server.out += 1
+        self.count_out(server, hop.weight)
         server.credit -= 1
         server.last, server.every = now, (server.every + now - server.last) / 2
-        if not server.origin:
-            self.total_out += 1
         cut = tx.read and not server.origin and self.strain() >= STRAIN
         return 'send', hop, max(1, self.patience(tx) - now) if cut else None
 
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -9,12 +9,13 @@
 from errno import ECONNREFUSED, EMFILE, ENFILE
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 
-from .http import ANSWER, MAX_BODY, BadMessage, Reader, request
+from .flow import PIECE, Flow
+from .http import ANSWER, BadMessage, Reader, request
 from .sockets import Outgoing, connect, push, quiet
 from .tables import Table
 
-HELD = 0.125                            # of the node's memory, for answers that are large and still coming
 KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
 SETTLED = 100                           # after an answer, until its connection is trusted with the next hop
 NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
@@ -62,8 +63,9 @@
     """One connection to a cache server; it carries one hop at a time."""
 
     def __init__(self, pool):
-        self.pool, self.reader = pool, Reader(ANSWER, pool.caches.most)
-        self.held = 0                   # bytes set aside for an answer that is large
+        self.pool, self.reader = pool, Reader(ANSWER)
+        self.sink = None                # the client that a large answer goes to as it comes
+        self.flow = None                # a large request on its way
         self.trip, self.unsent = None, b''      # unsent: what of the hop has not gone to the system
         self.left = True                # whether the hop's last byte has gone there
         self.number, self.idle_until, self.timed = None, None, False
@@ -76,12 +78,28 @@
         """Send a hop: at once, or what the system does not take as a pull producer, which is asked for more once
         all that it wrote has left."""
         self.trip, trip.link = trip, self
+        source = trip.message.source
         data = b''.join(request(trip.message, max(1, trip.until - self.pool.caches.clock())))
+        if source:
+            self.left = False
+            self.transport.write(data)
+            self.flow = Flow(source, self.transport, trip.message.length is None, source.moved)
+            source.carried(self)
+            return
         self.unsent = data[push(self.transport, data):]
         self.left = not self.unsent
         if self.unsent:
             self.transport.registerProducer(self, False)
 
+    def body(self, data, whole):
+        """More of a large request, and whether that was all. Its last byte has left once the system has all."""
+        if not whole:
+            self.flow.pass_on(data)
+            return
+        self.unsent = self.flow.framed(data) + self.flow.end()
+        self.flow = None
+        self.transport.registerProducer(self, False)
+
     def resumeProducing(self):
         if self.unsent:
             self.unsent, data = b'', self.unsent
@@ -94,23 +112,35 @@
         """The connection has ended: connectionLost tells."""
 
     def dataReceived(self, data):
-        if not self.trip:
+        if not self.trip and not self.sink:
             self.close()
             return
         try:
             self.reader.feed(data)
-            answer = self.reader.take()
-            while answer and answer.parts[1][0:1] == b'1':      # only a word before the answer
-                answer = self.reader.take()
-            if not answer and self.reader.size > MAX_BODY:
-                self.hold()
+            if self.sink:
+                self.pour()
+            else:
+                self.read()
         except BadMessage as err:
             self.pool.caches.broken(self.pool.server, err)
-            self.finish('spoilt')
+            if self.sink:
+                self.cut_off()
+            else:
+                self.finish('spoilt')
             self.close()
-            return
-        if not answer:
-            return
+
+    def read(self):
+        """The answer, if it is here, or the beginning of a large one."""
+        answer = self.reader.take()
+        while answer and answer.parts[1][0:1] == b'1':      # only a word before the answer
+            answer = self.reader.take()
+        if answer:
+            self.answered(answer)
+        elif self.reader.large:
+            self.begin(self.reader.message)
+
+    def answered(self, answer):
+        """All of an answer is here."""
         kept = self.left and answer.lasting and not self.reader.begun
         if kept:
             self.pool.rest(self)
@@ -118,27 +148,73 @@
         if not kept:
             self.close()
 
-    def hold(self):
-        """Set memory aside for a large answer: a fixed part of the node's serves all of them. Guards against one
-        said to have gigabytes, as against many at once."""
-        caches = self.pool.caches
-        if not self.held:
-            self.held = self.reader.need or caches.most     # in chunks it may have any length
-            caches.held += self.held
-            if caches.held > caches.most:
-                raise BadMessage(413, 'no memory for an answer of %d bytes' % self.held)
+    def begin(self, answer):
+        """A large answer begins: it ends the hop, and if the client waits for it flows on from here."""
+        how = ending(answer)
+        if how == 'committed':
+            answer.source = self
+            self.transport.bufferSize = PIECE
+        self.finish(how, answer)
+        if not self.sink:
+            self.close()
+
+    def pour(self):
+        """What has come of a large answer goes on."""
+        data, whole = self.reader.piece(), self.reader.whole
+        sink, lasting = self.sink, self.reader.message.lasting
+        if whole:
+            self.sink = None
+            self.reader.reset()
+        sink.more(data)
+        if whole:
+            sink.whole()
+            if self.left and lasting and not self.reader.begun:
+                self.transport.resumeProducing()
+                self.pool.rest(self)
+            else:
+                self.close()
+
+    def cut_off(self):
+        """A large answer will not be whole: its client is shown that."""
+        sink, self.sink = self.sink, None
+        sink.broken_off()
+
+    def pause(self):
+        """The client takes no more for now."""
+        self.transport.pauseProducing()
+
+    def go_on(self):
+        """It does again."""
+        self.transport.resumeProducing()
+
+    def drop(self):
+        """Nobody reads the large answer any more."""
+        self.sink = None
+        self.close()
 
     def put_down(self):
-        """Nothing is carried any more, and no memory set aside for its answer; the hop that was."""
-        self.pool.caches.held -= self.held
-        self.held = 0
+        """Nothing is carried any more; the hop that was."""
+        if self.flow:
+            self.flow.stop()
+            self.flow = None
         trip, self.trip = self.trip, None
+        if trip and trip.message.source:
+            trip.message.source.put_down(self)
         return trip
 
     def finish(self, how, answer=None):
         """End the hop that is on it."""
         self.put_down().over(how, answer)
 
+    def ended(self):
+        """An orderly end: an answer that lasted until then is whole."""
+        answer = self.reader.end() if self.left else None
+        if answer and self.sink:
+            sink, self.sink = self.sink, None
+            sink.whole()
+        elif answer and self.trip:
+            self.finish(ending(answer), answer)
+
     def give_up(self):
         """The hop is not waited for."""
         self.put_down()
@@ -155,6 +231,10 @@
 
     def connectionLost(self, reason=None):
         self.pool.forget(self)
+        if reason is not None and reason.check(ConnectionDone):
+            self.ended()
+        if self.sink:
+            self.cut_off()
         if self.trip:
             # Only a last byte that never left proves that the hop never ran.
             self.finish('lost' if self.left else 'unreachable')
@@ -272,7 +352,6 @@
     def __init__(self, reactor, deadlines, clock, place, budget, broken, fault, returned):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
-        self.most, self.held = int(place.memory * HELD), 0
         self.budget = budget
         self.broken, self.fault = broken, fault     # told of answers out of form, and of faults in here
         self.returned = returned        # told of a server that takes connections again, after it refused some
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -9,17 +9,24 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from . import http
-from .http import BadMessage, Reader
+from .flow import Flow
+from .http import MAX_BODY, BadMessage, Reader
 from .logs import LOG
 from .sockets import guard, push, quiet, unread_for, waiting
 from .tables import Table
-from ..values import BadLine, down, number
+from ..values import SECOND, BadLine, down, number
 
 # Where a client's connection stands: nothing has come on it yet; nothing is owed on it; part of a request is
 # here; a request is being answered; it has had its last answer and may close.
-FRESH, RESTING, HALF, ASKED, PARTING = 'fresh', 'resting', 'half', 'asked', 'parting'
-# How long it may stand there; and while nobody is accepted any more, in the order in which they make way.
-STAYS = {FRESH: (15_000, 500), PARTING: (10_000, 1_000), HALF: (24_000, 5_000), RESTING: (25_000, 1_000)}
+# or a large answer is on its way.
+FRESH, RESTING, HALF, ASKED, PARTING, POURING = 'fresh', 'resting', 'half', 'asked', 'parting', 'pouring'
+# How long it may stand there; while over half of the places are taken; and while nobody is accepted any more. In the order
+# in which they make way.
+STAYS = {FRESH: (15_000, 500, 500), PARTING: (10_000, 1_000, 1_000), HALF: (24_000, 24_000, 5_000),
+         POURING: (100_000, 100_000, 100_000), RESTING: (25_000, 1_000, 1_000)}
+CALM, BUSY, FULL = range(3)
+PACED = (HALF, POURING)                 # bytes that come or go give them time
+SLOW = 16_384                           # bytes of a body that give a client a second more for the rest of it
 LOOK = 1_000                            # between two looks at who has stayed for too long; a tenth while full
 AMPLE = 0.5                             # part of the budget from which a new connection has an idle one make way
 NEARLY = 2                              # places left when a connection is not kept after its answer
@@ -38,6 +45,10 @@
         self.came = 0                   # when the last bytes read came to this machine
         self.lasting, self.answered = True, False
         self.wrong, self.dropped = 0, 0         # requests for nothing there is; bytes read since the last answer
+        self.flows = None               # the request whose large body still comes
+        self.link = None                # the connection that it goes to, once there is one
+        self.flow, self.source = None, None     # a large answer on its way, and where it comes from
+        self.skips = False              # the rest of a large body is read and forgotten
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -47,6 +58,8 @@
         if self.phase == PARTING:
             self.drop(data)
             return
+        if self.phase == HALF:
+            self.paced(len(data))
         self.came = self.front.clock() - unread_for(self.transport)
         if self.phase in (FRESH, RESTING):
             if self.front.too_late(self.came, data):
@@ -54,22 +67,127 @@
                 return
             self.begin()
         self.reader.feed(data)
-        self.advance()
-        if self.errand and len(self.reader.buffer) > HELD:
+        if self.flows:
+            self.upload()
+        else:
+            self.advance()
+        if (self.errand or self.flow) and not self.flows and len(self.reader.buffer) > HELD:
             self.transport.pauseProducing()
 
+    def paced(self, count):
+        """Bytes of a request have come. Those of a body give the rest of it time. Guards against one that sends as
+        little as keeps it here."""
+        if self.reader.message:
+            self.since = min(self.front.clock(), self.since + count * SECOND // SLOW)
+
+    # --- a large request ----------------------------------------------------------------------------------
+
+    def upload(self):
+        """More of a large body: on to the server, or held and not read on until a connection carries it."""
+        reader, message = self.reader, self.flows
+        try:
+            if not self.link:
+                if not reader.whole and len(message.body) + len(reader.buffer) > MAX_BODY:
+                    self.pause()
+                return
+            data, whole = reader.piece(), reader.whole
+        except BadMessage as err:
+            self.front.node.count('malformed')
+            self.give_up_upload()
+            self.refuse(err.status, str(err))
+            return
+        link = self.link
+        if whole:
+            self.flows = self.link = None
+            reader.reset()
+            self.front.put(self, ASKED)
+        link.body(data, whole)
+        if whole and self.errand:
+            self.front.node.body_came(self.errand, self.came)
+
+    def carried(self, link):
+        """A connection carries the large request: its body goes there from here on, and nowhere else."""
+        self.link = link
+        self.front.node.body_spent(self.errand)
+        self.moved()
+        self.go_on()
+        self.front.again(self)
+
+    def put_down(self, link):
+        """The hop that carried the large request has ended."""
+        if self.link is link:
+            self.link = None
+
+    def give_up_upload(self):
+        """The large request will not come whole: nothing that was sent of it ran."""
+        errand, self.errand = self.errand, None
+        if errand:
+            self.front.node.client_gone(errand)
+
+    def moved(self):
+        """Bytes may go on again: it was not the client, or is not any more, that was slow."""
+        now = self.front.clock()
+        self.since = now if self.phase == POURING else max(self.since, now - STAYS[HALF][0] // 2)
+
+    def pause(self):
+        """Nothing more is read for now."""
+        self.transport.pauseProducing()
+
+    def go_on(self):
+        self.transport.resumeProducing()
+
+    # --- a large answer -----------------------------------------------------------------------------------
+
+    def pour(self, answer, minor):
+        """A large answer begins; its body follows as it comes."""
+        self.errand, self.answered, self.source = None, True, answer.source
+        chunks = minor == b'1'
+        self.lasting = self.lasting and (chunks or answer.length is not None)
+        self.front.put(self, POURING)
+        self.transport.write(http.relayed_head(answer, self.lasting, chunks))
+        self.flow = Flow(self.source, self.transport, chunks and answer.length is None, self.moved)
+        self.source.sink = self
+        self.source.pour()
+
+    def more(self, data):
+        """A piece of it."""
+        self.since = self.front.clock()
+        self.flow.pass_on(data)
+
+    def whole(self):
+        """That was all."""
+        flow, self.flow, self.source = self.flow, None, None
+        self.replied(flow.end())
+
+    def broken_off(self):
+        """It will not be whole, and the client must not take it for that."""
+        flow, self.flow, self.source = self.flow, None, None
+        flow.stop()
+        self.front.node.count('broken_off')
+        self.transport.abortConnection()
+
+    # --- its time -----------------------------------------------------------------------------------------
+
     def drop(self, data):
         """Nothing more is read. Guards against one that goes on sending: the system holds the rest, unread, at
         no cost, and the answer that was written still reaches it."""
         self.dropped += len(data)
-        if self.dropped > HELD:
+        if self.skips and self.dropped <= http.MAX_FLOW:
+            self.paced(len(data))       # it may read its answer only once all is sent
+        elif self.dropped > HELD:
             self.transport.pauseProducing()
 
     def overdue(self):
         """It has stood where it is for too long. Whether it makes way."""
         if self.phase == PARTING:
             self.transport.abortConnection()
+        elif self.phase == POURING:
+            self.front.node.count('not_read')
+            self.transport.abortConnection()
         elif self.phase == HALF:
+            if self.link and self.link.flow and self.link.flow.paused and self.stalls():
+                return False
+            self.give_up_upload()
             self.refuse(408, 'the request did not come')
         elif quiet(self.transport):
             self.part()
@@ -77,19 +195,27 @@
             return False
         return True
 
+    def stalls(self):
+        """Whether it is the server that takes no more of the body, and not for too long."""
+        return self.front.clock() < self.since + STAYS[POURING][0]
+
     def begin(self):
         """The first byte of a request is here: its time runs from when it came."""
         self.front.put(self, ASKED, self.came)
 
     def advance(self):
         """Handle what is here, one request after the other."""
-        while not self.errand and self.phase != PARTING:
+        while not self.errand and not self.flow and self.phase not in (PARTING, None):
             try:
                 message = self.reader.take()
             except BadMessage as err:
                 self.front.node.count('malformed')
                 self.refuse(err.status, str(err))
                 return
+            if message is None and self.reader.large:
+                self.hint()
+                self.take_large(self.reader.message)
+                return
             if message is None:
                 self.hint()
                 if self.answered and not self.reader.begun:
@@ -100,6 +226,15 @@
             self.lasting = message.lasting
             self.handle(message)
 
+    def take_large(self, message):
+        """A request whose body is passed on as it comes, from its head on."""
+        self.lasting = message.lasting
+        self.flows, message.source = message, self
+        self.handle(message)
+        if self.errand:
+            self.front.put(self, HALF, self.since)
+            self.upload()
+
     def handle(self, message):
         """A whole request. Guards against a fault of our own, which must not cost the client its answer."""
         self.front.put(self, ASKED, self.since)
@@ -109,7 +244,10 @@
             LOG.exception('fault')
             if self.errand:
                 self.front.node.forget(self.errand)
-            self.refuse(500, 'a fault in the node')
+            if self.phase == POURING:
+                self.broken_off()
+            else:
+                self.refuse(500, 'a fault in the node')
 
     def hint(self):
         """A client that asks whether to send its body is told to."""
@@ -127,8 +265,15 @@
         data = b''.join(pieces)
         if not waiting(self.transport):
             data = data[push(self.transport, data):]
+        self.replied(data)
+
+    def replied(self, data):
+        """The rest of the answer, and what follows it."""
         if data:
             self.transport.write(data)
+        if self.flows:
+            # Its body still comes: closing on it would take the answer back.
+            self.flows, self.link, self.skips, self.lasting = None, None, True, False
         if not self.lasting:
             self.end()
         elif self.reader.begun:
@@ -152,7 +297,10 @@
 
     def connectionLost(self, reason=None):
         errand, self.errand = self.errand, None
+        source, self.source = self.source, None
         self.front.closed(self)
+        if source:
+            source.drop()
         if errand:
             self.front.node.client_gone(errand)
 
@@ -168,7 +316,7 @@
         self.slowest = max(profile.hard for profile in terms.profiles)
         self.profiles = {p.name.encode(): row for row, p in enumerate(terms.profiles)}
         self.tenants = {t.name.encode(): row for row, t in enumerate(terms.tenants)}
-        self.phases = {phase: {} for phase in (FRESH, RESTING, HALF, ASKED, PARTING)}   # the longest there first
+        self.phases = {phase: {} for phase in (*STAYS, ASKED)}      # the longest there first
         self.port, self.full, self.shut = None, False, False
         self.yielded = False            # another process of this node accepts
         self.came = 0                   # when the last client connected
@@ -215,28 +363,30 @@
         self.came = self.clock()
         self.put(client, FRESH)
         if len(self.table) > self.budget * AMPLE:
-            self.make_room(1, True)
+            self.make_room(1, BUSY)
         self.see_to_room()
 
     def look(self, _=0):
         """Who has stayed for too long goes."""
-        self.make_room(self.budget, False)
+        self.make_room(self.budget, CALM)
         self.deadlines.at(self.clock() + LOOK, self.look, 0)
 
     def press(self, _=0):
         """The same, sooner and some at a time, while nobody is accepted."""
         if self.full:
-            self.make_room(max(1, self.budget // 16), True)
+            self.make_room(max(1, self.budget // 16), FULL)
             self.deadlines.at(self.clock() + LOOK // 10, self.press, 0)
 
-    def make_room(self, places, short):
+    def make_room(self, places, need):
         """Those that have been in their phase for too long go, but none that has a request unread; those that may
         ask again go last, until there are so many places. Guards against clients that say nothing, send half a
         request, or never close."""
         now, freed = self.clock(), 0
         for phase, stays in STAYS.items():
             for client in list(self.phases[phase].values()):
-                if now < client.since + stays[short] or phase == RESTING and freed >= places:
+                if now < client.since + stays[need] or phase == RESTING and freed >= places:
+                    if phase in PACED:
+                        continue        # these are not in the order of their times
                     break
                 freed += client.overdue()
 
@@ -260,7 +410,7 @@
         asking again and again: they are accepted once one is free, or a moment later."""
         self.node.count('no_descriptor')
         self.node.caches.make_way()
-        self.make_room(1, True)
+        self.make_room(1, FULL)
         self.port.stopReading()
         self.deadlines.at(self.clock() + LOOK // 100, self.uncrowded, 0)
 
@@ -286,7 +436,9 @@
 
     def read_on(self, number_):
         client = self.table.get(number_)
-        if client:
+        if client and client.flows:
+            client.upload()
+        elif client:
             client.advance()
 
     def close_idle(self, rested=0):
@@ -337,10 +489,10 @@
             client.refuse(409, 'this Req-Id is open')
             return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
-        self.node.take(client, message, row, tenant, key, client.since + wait, client.came)
+        self.node.take(client, message, row, tenant, key, wait, client.came)
 
     def stay(self, client):
         """Whether the connection is kept after this answer: others may wait for its place."""
         crowded = len(self.phases[ASKED]) >= self.budget - NEARLY
-        client.lasting = client.lasting and not crowded and not self.node.leaving()
+        client.lasting = client.lasting and not crowded and not self.node.leaving() and not client.flows
         return client.lasting
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -7,7 +7,8 @@
 
 import re
 
-MAX_HEAD, MAX_BODY, MAX_LINE = 16_384, 65_536, 1_024
+MAX_HEAD, MAX_BODY, MAX_LINE = 16_384, 65_536, 1_024        # bodies up to that are held whole
+MAX_FLOW = 32 << 20                     # others are passed on as they come, up to that
 REQUEST = re.compile(rb"([A-Za-z]+) ([!-~]+) HTTP/1\.([01])\r\n")
 ANSWER = re.compile(rb'HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n\0]*)?\r\n')
 FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\0]*)\r\n")
@@ -19,6 +20,7 @@
                  b'upgrade', b'expect', b'content-length', b'req-deadline'))
 SINGLE = frozenset((b'host', b'req-id', b'req-deadline', b'req-owner', b'idempotency-key', b'srv-declined'))
 ABSOLUTE = re.compile(rb'(?i:https?)://[^/?#]*')
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 REASONS = {200: 'OK', 400: 'Bad Request', 404: 'Not Found', 405: 'Method Not Allowed', 408: 'Request Timeout',
            409: 'Conflict', 413: 'Content Too Large', 431: 'Request Header Fields Too Large', 500: 'Internal Server Error',
@@ -36,7 +38,7 @@
 class Message:
     """One request or answer: the first line's parts, the header lines as spans of the head, the body."""
 
-    __slots__ = ('head', 'begun', 'parts', 'lines', 'fields', 'body')
+    __slots__ = ('head', 'begun', 'parts', 'lines', 'fields', 'body', 'length', 'source')
 
     def __init__(self, head, first):
         self.head = head
@@ -44,6 +46,8 @@
         self.begun = first.end(2)       # where the second part ends
         self.lines, self.fields = [], {}
         self.body = b''
+        self.length = 0                 # of the body; None: it is not told
+        self.source = None              # the connection from which the body still comes, where it flows
 
     def field(self, name):
         """The value of a header field, or None."""
@@ -165,15 +169,16 @@
 class Reader:
     """One side's stream of messages. feed() what came, then take() messages until it gives None."""
 
-    __slots__ = ('first', 'most', 'buffer', 'scanned', 'message', 'need', 'chunks')
+    __slots__ = ('first', 'most', 'buffer', 'scanned', 'message', 'need', 'chunks', 'lasts')
 
-    def __init__(self, first, most=MAX_BODY):
+    def __init__(self, first, most=MAX_FLOW):
         self.first, self.most = first, most     # REQUEST or ANSWER; the largest body
         self.buffer = bytearray()
         self.reset()
 
     def reset(self):
         self.scanned, self.message, self.need, self.chunks = 0, None, 0, None
+        self.lasts = False              # whether the body lasts until the connection ends
 
     @property
     def begun(self):
@@ -181,9 +186,44 @@
         return self.message is not None or bool(self.buffer)
 
     @property
-    def size(self):
-        """How long the body of the present message is, as far as it is known."""
-        return max(self.need, len(self.message.body) + len(self.buffer)) if self.message else 0
+    def large(self):
+        """Whether the present message's body is too large to be held whole."""
+        return self.message is not None and max(self.need, len(self.message.body)) > MAX_BODY
+
+    @property
+    def whole(self):
+        """Whether all of the present body has been taken."""
+        return self.chunks.ended if self.chunks else not self.need and not self.lasts
+
+    def piece(self):
+        """Take what is here of a body that flows."""
+        message = self.message
+        data, message.body = bytes(message.body), b''
+        if self.chunks:
+            data += self.chunks.read(self.buffer)
+        elif self.lasts:
+            data += self.buffer
+            self.count(len(self.buffer))
+            self.buffer.clear()
+        elif self.need:
+            data += bytes(memoryview(self.buffer)[:self.need])
+            del self.buffer[:self.need]
+            self.need -= len(data)
+        return data
+
+    def count(self, more):
+        """So much more of a body whose length is not told. Guards against one without end."""
+        self.need -= more
+        if -self.need > self.most:
+            raise BadMessage(413, 'body too large')
+
+    def end(self):
+        """The connection has ended in order: the message whose body lasted until then, or None."""
+        if not self.lasts:
+            return None
+        message = self.message
+        self.reset()
+        return message
 
     def hint(self):
         """Whether the sender of the present message asks, and was not yet told, to go on with its body."""
@@ -202,6 +242,11 @@
             message.body += self.chunks.read(self.buffer)
             if not self.chunks.ended:
                 return None
+        elif self.lasts:
+            message.body += self.buffer
+            self.count(len(self.buffer))
+            self.buffer.clear()
+            return None
         else:
             if len(self.buffer) < self.need:
                 return None
@@ -234,24 +279,28 @@
             if coding.lower() != b'chunked':
                 raise BadMessage(400, 'unknown transfer coding')
             self.chunks = Chunks(self.most)
-            message.body = bytearray()
+            message.body, message.length = bytearray(), None
+            return
+        if self.first is ANSWER and BARE.match(message.parts[1]):
             return
         if length is None:
-            # An answer that would last until its connection ends cannot be told from a half one.
-            if self.first is ANSWER and not BARE.match(message.parts[1]):
-                raise BadMessage(400, 'answer without a length')
+            if self.first is ANSWER:
+                self.lasts, message.body, message.length = True, bytearray(), None
             return
         lengths = {part.strip() for part in length.split(b',')}
         if len(lengths) != 1 or not DIGITS.match(length := lengths.pop()):
             raise BadMessage(400, 'length out of form')
         if int(length) > self.most:
             raise BadMessage(413, 'body too large')
-        self.need = int(length)
+        self.need = message.length = int(length)
 
 
 def request(message, wait):
     """A client's request as it goes to a cache that is waited for so long (tenths of a millisecond)."""
     tail = b'Req-Deadline: %d.%04d\r\n' % divmod(wait, 10_000)
+    if message.source:
+        tail += framing(message)
+        return [message.head[:message.begun], b' HTTP/1.1\r\n', *message.passed(), tail + b'\r\n']
     if message.body or message.parts[0] != b'GET':
         tail += b'Content-Length: %d\r\n' % len(message.body)
     return [message.head[:message.begun], b' HTTP/1.1\r\n', *message.passed(), tail + b'\r\n', bytes(message.body)]
@@ -265,6 +314,19 @@
     return [b'HTTP/1.1 200 OK\r\n', *message.passed(), tail + b'\r\n', bytes(message.body)]
 
 
+def framing(message):
+    """The header line that tells how long a body is that flows."""
+    return CHUNKED if message.length is None else b'Content-Length: %d\r\n' % message.length
+
+
+def relayed_head(message, lasting, chunks):
+    """The head of a cache's 200 answer whose body flows; chunks: whether the client reads them."""
+    tail = framing(message) if chunks or message.length is not None else b''
+    if not lasting:
+        tail += b'Connection: close\r\n'
+    return b''.join([b'HTTP/1.1 200 OK\r\n', *message.passed(), tail + b'\r\n'])
+
+
 def answer(status, lasting, text='', more=''):
     """An answer of the node's own."""
     body = text.encode()
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -37,10 +37,10 @@
 class Errand:
     """A transaction that the node has taken, and the client it owes an answer."""
 
-    __slots__ = ('number', 'name', 'client', 'message', 'tx', 'passages')
+    __slots__ = ('number', 'name', 'client', 'message', 'tx', 'passages', 'wait')
 
-    def __init__(self, client, message):
-        self.client, self.message = client, message
+    def __init__(self, client, message, wait):
+        self.client, self.message, self.wait = client, message, wait
         self.name = message.field(b'req-id')
         self.number = self.tx = None
         self.passages = []              # hops under way
@@ -287,16 +287,32 @@
 
     # --- clients ----------------------------------------------------------------------------------------
 
-    def take(self, client, message, row, tenant, key, limit, since):
-        """A client's request has come whole: one answer is owed from here on."""
-        errand = client.errand = Errand(client, message)
+    def take(self, client, message, row, tenant, key, wait, since):
+        """A client's request has come whole, or the head of a large one: one answer is owed from here on."""
+        errand = client.errand = Errand(client, message, wait)
+        limit = None if message.source else since + wait
         errand.number = self.errands.add(errand)
         self.ids.add(errand.name)
         self.count('taken')
         write = message.parts[0] == b'PUT'
         errand.tx = self.router.take(self.clock(), row, tenant, key, limit, write, since)
         errand.tx.ref = errand
+        if limit is not None:
+            self.deadlines.at(limit, self.limit_due, errand.number)
+        self.settle()
+
+    def body_spent(self, errand):
+        """A connection carries a large body, which cannot be sent a second time."""
+        self.router.body_spent(errand.tx)
+
+    def body_came(self, errand, when):
+        """The last byte of a large request came then: its time runs."""
+        limit = when + errand.wait
+        self.router.body_came(self.clock(), errand.tx, limit)
         self.deadlines.at(limit, self.limit_due, errand.number)
+        for passage in errand.passages:
+            if not self.place.terms.may_cancel:
+                self.deadlines.at(limit, self.patience_due, passage.number)
         self.settle()
 
     def client_gone(self, errand):
@@ -351,11 +367,16 @@
         open_ = self.errands.get(errand.number) is errand
         final = how in ('committed', 'rejected')        # rejected: it is the request that is bad, not the server
         if final and open_:
+            minor = errand.message.parts[2]
             client = self.forget(errand)
             self.count(how)
             lasting = self.front.stay(client)
-            client.reply(http.relayed(answer, lasting) if how == 'committed'
-                         else http.answer(400, lasting, 'turned away by the server\n'))
+            if how != 'committed':
+                client.reply(http.answer(400, lasting, 'turned away by the server\n'))
+            elif answer.source:
+                client.pour(answer, minor)
+            else:
+                client.reply(http.relayed(answer, lasting))
         note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
         self.count('hops_' + how)
         self.router.hop_ended(now, hop, how, now - hop.sent, final or hop.tx.done, note)
@@ -441,13 +462,14 @@
     def do_send(self, hop, patience):
         """A hop goes out."""
         errand, now = hop.tx.ref, self.clock()
-        until = hop.tx.limit if patience is None else min(hop.tx.limit, now + patience)
+        limit = now + errand.wait if hop.tx.limit is None else hop.tx.limit
+        until = limit if patience is None else min(limit, now + patience)
         passage = Passage(errand, hop)
         passage.number = self.passages.add(passage)
         errand.passages.append(passage)
         passage.trip = self.caches.send(hop.server, errand.message, until)
         passage.trip.done.addCallback(self.arrived, passage.number).addErrback(self.fault)
-        if until < hop.tx.limit or not self.place.terms.may_cancel:     # else it ends with its errand
+        if hop.tx.limit is not None and (until < limit or not self.place.terms.may_cancel):    # else it ends with its errand
             self.deadlines.at(until, self.patience_due, passage.number)
 
     def do_cancel(self, hop):
@@ -472,7 +494,7 @@
     def do_abandon(self, tx):
         """Nothing can be promised."""
         self.count('abandoned')
-        late = self.clock() >= tx.limit
+        late = tx.limit is not None and self.clock() >= tx.limit
         self.reply(tx.ref, 504 if late else 502, 'it may have taken effect\n')
 
     def do_watch(self):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -140,7 +140,8 @@
 
     def registerProducer(self, producer, streaming):
         super().registerProducer(producer, streaming)
-        producer.resumeProducing()
+        if not streaming:
+            producer.resumeProducing()
 
     def flush(self):
         """All that was written has left."""
--- /dev/null
+++ b/tests/test_flow.py
@@ -0,0 +1,250 @@
+"""Large bodies that flow through a node: by state, and 32 MB each way through a real process."""
+
+import hashlib
+import socket
+import threading
+import unittest
+
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from lilacdyke.net.front import HALF, RESTING
+
+from .helpers import asked, dialled, lost, node, refused, sent
+from .test_net import Quiet, status
+from .test_upgrade import Processes
+
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+LARGE = b'HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n'
+PUT = 'PUT /once/k HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\nContent-Length: 100000\r\n\r\n'
+
+
+def broken(wire):
+    """The connection is reset."""
+    wire.protocol.connectionLost(Failure(ConnectionLost()))
+
+
+def carried(made):
+    """The connection that carries a large request, a turn after it came up."""
+    wire = dialled(made)
+    made.reactor.advance(0)
+    return wire
+
+
+class Answers(Quiet):
+    def test_the_first_bytes_commit_and_the_rest_follows_at_once(self):
+        made = node()
+        wire, cache = sent(made)
+        cache.protocol.dataReceived(LARGE + b'abc')
+        first, counts = wire.value(), made.counts['hops_committed']
+        cache.protocol.dataReceived(b'x' * 99_997)
+        self.assertEqual((first, counts), (b'HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabc', 1))
+        self.assertEqual((len(wire.value()), wire.protocol.phase, cache.ended), (len(first) + 99_997, RESTING, False))
+
+    def test_a_server_that_breaks_off_shows_the_client_that_it_is_not_whole(self):
+        for answer in (LARGE + b'abc', CHUNKED + b'11000\r\n' + b'x' * 0x11000 + b'\r\n', b'HTTP/1.1 200 OK\r\n\r\n' + b'x' * 70_000):
+            made = node()
+            wire, cache = sent(made)
+            cache.protocol.dataReceived(answer)
+            broken(cache)
+            self.assertEqual((status(wire), wire.aborted, len(made.errands)), (200, True, 0))
+
+    def test_in_chunks_and_until_the_end_it_is_whole_for_either_kind_of_client(self):
+        body = b'z' * 0x20000
+        for minor, ending in ((1, b'\r\n0\r\n\r\n'), (0, b'zz')):
+            for answer, closes in ((CHUNKED + b'20000;a=b\r\n' + body + b'\r\n0\r\nA: b\r\n\r\n', False),
+                                   (b'HTTP/1.0 200 OK\r\n\r\n' + body, True)):
+                with self.subTest(minor=minor, closes=closes):
+                    made = node()
+                    wire, cache = sent(made, 'GET /read/k HTTP/1.%d\r\nHost: x\r\nReq-Id: %%d\r\n\r\n' % minor)
+                    for at in range(0, len(answer), 4_999):
+                        cache.protocol.dataReceived(answer[at:at + 4_999])
+                    if closes:
+                        lost(cache)
+                    self.assertEqual((wire.value()[-len(ending):], wire.value().count(b'z'), wire.half_closed),
+                                     (ending, len(body), minor == 0))
+
+    def test_a_client_that_reads_slowly_stops_the_server_and_is_given_up_in_time(self):
+        made = node()
+        wire, cache = sent(made)
+        cache.protocol.dataReceived(LARGE)
+        wire.producer.pauseProducing()
+        paused = cache.producerState
+        wire.producer.resumeProducing()
+        self.assertEqual((paused, cache.producerState), ('paused', 'producing'))
+        made.reactor.pump([0.5] * 21)
+        self.assertTrue(wire.aborted)
+
+    def test_a_client_that_goes_ends_the_hop(self):
+        made = node()
+        wire, cache = sent(made)
+        cache.protocol.dataReceived(LARGE)
+        lost(wire)
+        self.assertTrue(cache.ended)
+
+    def test_a_large_loser_of_a_race_is_not_passed_on(self):
+        made = node()
+        wire, cache = sent(made)
+        lost(wire)
+        cache.protocol.dataReceived(LARGE)
+        self.assertTrue(cache.ended)
+
+    def test_noise_within_it_shows_too(self):
+        made = node()
+        wire, cache = sent(made)
+        cache.protocol.dataReceived(CHUNKED + b'11000\r\n' + b'x' * 0x11000)
+        cache.protocol.dataReceived(b'\r\nnoise\r\n')
+        self.assertEqual((wire.aborted, cache.ended), (True, True))
+
+
+class Requests(Quiet):
+    def test_the_body_follows_its_head_and_its_time_runs_from_the_last_byte(self):
+        made = node()
+        wire = asked(made, PUT + 'abc')
+        origin = carried(made)
+        tx, before = wire.protocol.errand.tx, origin.value()
+        made.reactor.advance(2.2)
+        wire.protocol.dataReceived(b'z' * 99_997)
+        origin.flush()
+        self.assertTrue(before.endswith(b'Content-Length: 100000\r\n\r\nabc'))
+        self.assertEqual((origin.value().count(b'z'), tx.limit, tx.hops[0].weight), (99_997, made.clock() + 20_000, 1))
+        self.assertTrue(origin.protocol.left)
+
+    def test_a_server_lost_in_the_body_never_ran_it_and_gets_no_second_try(self):
+        made = node()
+        wire = asked(made, PUT + 'abc')
+        origin, dials = carried(made), len(made.reactor.tcpClients)
+        lost(origin)
+        self.assertEqual((status(wire), wire.half_closed, len(made.reactor.tcpClients)), (503, True, dials))
+        wire.protocol.dataReceived(b'x' * 99_997)       # which the client sends before it reads
+        self.assertFalse(wire.aborted or wire.producerState == 'paused')
+
+    def test_one_that_found_no_connection_goes_elsewhere(self):
+        made = node()
+        wire = asked(made, PUT + 'abc')
+        refused(made)
+        self.assertTrue(carried(made).value().endswith(b'abc'))
+
+    def test_a_client_that_goes_in_the_body_leaves_nothing_that_ran(self):
+        made = node()
+        wire = asked(made, PUT + 'abc')
+        origin = carried(made)
+        lost(wire)
+        self.assertEqual((origin.aborted, len(made.errands)), (True, 0))
+
+    def test_a_body_at_64_kb_a_second_is_waited_for_and_one_that_drips_is_not(self):
+        for pieces, told in ((6_400, None), (10, 408)):
+            made = node()
+            wire = asked(made, PUT)
+            origin = carried(made)
+            for _ in range(40):
+                made.reactor.advance(0.1)
+                wire.protocol.dataReceived(b'x' * min(pieces, 2_000))
+            self.assertEqual((status(wire), origin.aborted, wire.protocol.phase == HALF), (told, told == 408, told is None))
+
+    def test_no_connection_yet_the_client_is_paused(self):
+        made = node()
+        wire = asked(made, PUT + 'z' * 70_000)
+        held = wire.producerState
+        origin = carried(made)
+        self.assertEqual((held, wire.producerState, origin.value().count(b'z')), ('paused', 'producing', 70_000))
+
+    def test_a_chunk_out_of_form_ends_it(self):
+        made = node()
+        wire = asked(made, PUT.replace('Content-Length: 100000', 'Transfer-Encoding: chunked') + '11000\r\n' + 'x' * 0x11000)
+        origin = carried(made)
+        wire.protocol.dataReceived(b'\r\nnoise\r\n')
+        self.assertEqual((status(wire), origin.aborted), (400, True))
+
+
+class Pieces(threading.Thread):
+    """A cache server that reads a body, and answers with 32 MB in pieces of all sizes."""
+
+    def __init__(self, body):
+        super().__init__(daemon=True)
+        self.body, self.got = body, None
+        self.door = socket.create_server(('127.0.0.1', 0))
+        self.server_port = self.door.getsockname()[1]
+        self.start()
+
+    def run(self):
+        while True:
+            try:
+                link, _ = self.door.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(link,), daemon=True).start()
+
+    def serve(self, link):
+        with link, link.makefile('rb') as file:
+            while line := file.readline():
+                length = 0
+                while (field := file.readline()) not in (b'\r\n', b''):
+                    if field.lower().startswith(b'content-length:'):
+                        length = int(field.split(b':')[1])
+                if line.startswith(b'PUT'):
+                    digest, left = hashlib.sha256(), length
+                    while left and (data := file.read(min(left, 4_096))):
+                        digest.update(data)
+                        left -= len(data)
+                    self.got = digest.hexdigest()
+                    link.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+                    continue
+                link.sendall(b'HTTP/1.1 200 OK\r\nSrv-Cache: hit\r\nTransfer-Encoding: chunked\r\n\r\n')
+                at, size = 0, 1
+                try:
+                    while at < len(self.body):
+                        data = self.body[at:at + size]
+                        link.sendall(b'%x\r\n%s\r\n' % (len(data), data))
+                        at, size = at + len(data), size % 65_536 * 3 + 1
+                    link.sendall(b'0\r\n\r\n')
+                except OSError:
+                    return              # a copy that lost its race
+
+    def shutdown(self):
+        self.door.close()
+
+    server_close = shutdown
+
+
+class Through(Processes):
+    """Through a real process, byte for byte, with its memory bounded."""
+
+    SIZE, GROWTH_KB = 32 << 20, 16_384
+
+    def make_servers(self):
+        self.body = hashlib.shake_256(b'body').digest(self.SIZE)
+        return {name: Pieces(self.body) for name in ('c0', 'o')}
+
+    def most_kb(self):
+        with open('/proc/%d/status' % self.first.pid, encoding='ascii') as file:
+            return next(int(line.split()[1]) for line in file if line.startswith('VmHWM'))
+
+    def test_32_mb_each_way_in_pieces(self):
+        before, wanted = self.most_kb(), hashlib.sha256(self.body).hexdigest()
+        done = []
+        threads = [threading.Thread(target=lambda number=number: done.append(self.read(number))) for number in range(4)]
+        for thread in threads:
+            thread.start()
+        with socket.create_connection(('127.0.0.1', self.listen)) as link:
+            link.sendall(b'PUT /once/k HTTP/1.1\r\nHost: x\r\nReq-Id: up\r\nContent-Length: %d\r\n\r\n' % self.SIZE)
+            for at in range(0, self.SIZE, 7_777):
+                link.sendall(self.body[at:at + 7_777])
+            self.assertEqual(link.recv(15), b'HTTP/1.1 200 OK')
+        for thread in threads:
+            thread.join(60)
+        self.assertEqual((done, self.servers['o'].got), ([wanted] * 4, wanted))
+        self.assertLess(self.most_kb() - before, self.GROWTH_KB)        # of 160 MB that went through
+
+    def read(self, number):
+        """A large answer, read by a client that stops now and then; its digest."""
+        import http.client
+        import time
+        link = http.client.HTTPConnection('127.0.0.1', self.listen, timeout=10)
+        link.request('GET', '/read/%d' % number, headers={'Req-Id': 'r%d' % number})
+        answer, digest = link.getresponse(), hashlib.sha256()
+        while data := answer.read(1 << 20):
+            digest.update(data)
+            time.sleep(0.01 * number)
+        link.close()
+        return digest.hexdigest()
