Lab: staff that suspends, resumes, empties and calls back, judged, with six mutants

Suspended caches are restarted cold while out; what a node sends to one from its yes on, an idle client kept 4 s, a ready that is a yes, a node that does not come back are breaches. Hand-over sockets carry whose they are: two nodes that share a folder must not meet.

--- a/lilacdyke/lab/draw.py
+++ b/lilacdyke/lab/draw.py
@@ -14,7 +14,7 @@
 KINDS = {'slow': 4, 'hung': 3, 'garbled': 2, 'halved': 2, 'extra': 2, 'crash': 4, 'vanish': 2, 'refuse': 2, 'drain': 4,
          'replace': 3, 'deploy': 3, 'shrink': 2, 'cut': 3, 'delay': 2, 'resets': 3, 'dribble': 2, 'deaf': 1, 'kill': 4,
          'term': 3, 'hup': 2, 'standstill': 3, 'clock': 1, 'step': 1, 'descriptors': 2, 'burst': 3, 'hot': 2,
-         'silence': 2, 'lag': 2, 'cut_watch': 3, 'half_line': 2, 'stale': 2, 'miss': 1, 'fetch_slow': 2}
+         'silence': 2, 'lag': 2, 'cut_watch': 3, 'half_line': 2, 'stale': 2, 'miss': 1, 'fetch_slow': 2, 'suspend': 3, 'away': 2}
 SIZES = {'slow': (2, 9), 'garbled': (1, 9), 'halved': (1, 9), 'extra': (1, 9), 'deploy': (3, 9), 'shrink': (2, 5),
          'delay': (5, 80), 'resets': (1, 20), 'dribble': (0.1, 20), 'clock': (0.9, 1.1), 'step': (0, 30),
          'descriptors': (3, 9), 'burst': (1.4, 3), 'hot': (10, 40), 'lag': (1, 5), 'stale': (1, 5), 'miss': (1, 8),
--- a/lilacdyke/lab/faults.py
+++ b/lilacdyke/lab/faults.py
@@ -175,6 +175,61 @@
         for number, server in enumerate(leaving):
             self.stage.later(span * number // max(1, len(leaving)) + 1, self.drain, server, 2_000_000)
 
+    # --- by hand ----------------------------------------------------------------------------------------
+
+    def do_suspend(self, index, event, what, span, chance):
+        """Staff takes them out at every node, restarts them meanwhile, and calls them back."""
+        for server in self.numbered(what):
+            for place in self.stage.places:
+                self.stage.staff.tell(place, 'cache-servers/%s/suspend' % server.name, 'out', server.name)
+            self.stage.later(span // 2, self.bounce, server)
+            self.stage.later(span, self.call_back, server)
+
+    def bounce(self, server):
+        if server.port is not None and self.stage.at_work(server.name):
+            server.close('restarted')
+            self.stage.later(200_000, server.restart)
+
+    def call_back(self, server):
+        for place in self.stage.places:
+            self.stage.see('hand', place.name, 'back', server.name)
+            self.stage.staff.tell(place, 'cache-servers/%s/resume' % server.name, 'returned', server.name)
+
+    def do_away(self, index, event, what, span, chance):
+        """Staff has nodes emptied; the front sees it a moment later. They are called back after 4.5 s at the least."""
+        for place in self.places(what):
+            running = place.running
+            if running is None or running.leaving:
+                continue
+            place.away += 1
+            self.stage.staff.tell(place, 'node/drain', 'away', '')
+            self.stage.later(300_000, self.send_elsewhere, place, running)
+            self.stage.later(4_000_000, self.look_in, place, running)
+            self.stage.later(max(4_500_000, span), self.take_in, place, running)
+
+    def send_elsewhere(self, place, running):
+        if place.running is running and place.away:
+            place.open = False
+            self.stage.staff.look(place, 'ready')
+
+    def look_in(self, place, running):
+        """What an emptied node keeps after 4 s."""
+        if place.running is running and place.away and not running.leaving:
+            kept = [seat for seat in self.stage.crowd.idle.get(place, ()) if seat.up and not seat.ending]
+            self.stage.see('hand', place.name, 'kept', str(len(kept)))
+
+    def take_in(self, place, running):
+        if place.running is running and not running.leaving:
+            place.away = max(0, place.away - 1)
+            if not place.away:
+                self.stage.staff.tell(place, 'node/activate', 'active', '')
+                self.stage.later(1_000_000, self.open_again, place, running)
+
+    def open_again(self, place, running):
+        if place.running is running and not running.leaving and not place.away:
+            place.open = True
+            self.stage.staff.look(place, 'open')
+
     # --- network ----------------------------------------------------------------------------------------
 
     @property
--- a/lilacdyke/lab/judges.py
+++ b/lilacdyke/lab/judges.py
@@ -256,6 +256,48 @@
     return found
 
 
+# --- by hand ----------------------------------------------------------------------------------------------
+
+def hands(case):
+    """Nothing begun at a server that staff has out, from the node's yes until the call back; an emptied node says so, and
+    keeps nobody that rests."""
+    found, out = [], {}                 # out: (node, server) -> since when
+    empty = {}                          # node -> since when
+    for row in case.rows:
+        kind, at = row[:2]
+        if kind == 'node' and row[3] in ('up', 'killed', 'exit', 'term'):
+            out = {pair: since for pair, since in out.items() if pair[0] != row[2]}
+            empty.pop(row[2], None)
+        elif kind == 'hop':
+            since = out.get((row[6], row[3]))
+            if since is not None and row[7] > since + case.slack + case.travel and not frozen(case, row[6], since, row[7]):
+                found.append(Broken('hands', row[7], '%s sent %s to %s, out for %d ms' % (
+                    row[6], row[4], row[3], (row[7] - since) // 1_000)))
+        elif kind == 'hand':
+            node, what, about = row[2:]
+            if what == 'out':
+                out.setdefault((node, about), at)
+            elif what == 'back':
+                out.pop((node, about), None)
+            elif what == 'away':
+                empty.setdefault(node, at)
+            elif what == 'active':
+                empty.pop(node, None)
+            elif not troubled_at_door(case, node, at):
+                if what == 'ready' and node in empty and about == '200':
+                    found.append(Broken('hands', at, '%s says it is ready, but is emptied' % node))
+                elif what == 'kept' and empty.get(node, at) <= at - 3_000_000 and about != '0':
+                    found.append(Broken('hands', at, '%s keeps %s clients that rest, emptied for 4 s' % (node, about)))
+                elif what == 'open' and node not in empty and about != '200':
+                    found.append(Broken('hands', at, '%s is not ready, a second after it was called back' % node))
+    return found
+
+
+def troubled_at_door(case, node, at):
+    """Whether the node stood still or had no descriptors, or the network failed, in the seconds before."""
+    return case.troubled(STILL | CROWDED | NETWORK, at - 4_500_000, at)
+
+
 # --- no cold server pushed over ---------------------------------------------------------------------------
 
 def pushes(case):
@@ -372,7 +414,7 @@
     return found
 
 
-RULES = {'answered': answered, 'once': once, 'cancelled': cancelled, 'drains': drains, 'pushed': pushes, 'rude': rude, 'accounts': accounts}
+RULES = {'answered': answered, 'once': once, 'cancelled': cancelled, 'drains': drains, 'hands': hands, 'pushed': pushes, 'rude': rude, 'accounts': accounts}
 
 
 def judge(scenario, rows):
--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -259,7 +259,7 @@
 
 
 def silent_kept(put, chance):
-    put(Front, 'make_room', lambda self, places, short: None)
+    put(Front, 'make_room', lambda self, places, need: None)
 
 
 def noise_raises(put, chance):
@@ -301,6 +301,60 @@
     put(Table, 'add', add)
 
 
+def ban_lost(put, chance):
+    usual = Router.list_entry
+
+    def list_entry(self, now, server, state, *rest):
+        if self.banned(server.name) and self.hand[server.name][0] < now:
+            self.hand.pop(server.name)
+        usual(self, now, server, state, *rest)
+    put(Router, 'list_entry', list_entry)
+
+
+def copy_to_suspended(put, chance):
+    usual = Router.pick
+
+    def pick(self, now, tx):
+        for server in self.known.values() if tx.hops else ():
+            if server.state == 'banned':
+                server.state = 'ready'
+                return server
+        return usual(self, now, tx)
+    put(Router, 'pick', pick)
+
+
+def back_as_warm(put, chance):
+    usual = Router.resume
+
+    def resume(self, now, name):
+        self.hand.pop(name, None)
+        server = self.known.get(name)
+        if server:
+            self.list_remembered(now, [(server, server.told, server.weight, None, server.zone, server.cell)])
+        return usual(self, now, name)
+    put(Router, 'resume', resume)
+    put(Router, 'presence', lambda self, now, server: 1)
+
+
+def idle_kept(put, chance):
+    put(Node, 'send_away', lambda self, since: None)
+    put(Front, 'make_room', lambda self, places, need: None)        # else they go after 2.5 s of rest all the same
+
+
+def never_away(put, chance):
+    usual = Node.ready
+
+    def ready(self):
+        kept, self.gone_away = self.gone_away, False
+        told, self.gone_away = usual(self), kept
+        return told
+    put(Node, 'ready', ready)
+
+
+def never_back(put, chance):
+    put(Node, 'activate', lambda self: True)
+
+
 # --- scenarios that some need -----------------------------------------------------------------------------
 
 def crowd_cold(made):
@@ -336,6 +390,24 @@
                        Event(at_s=2.0, kind='drain', count=2, for_s=30.0)])
 
 
+def cold_back(made):
+    """The same, called back by staff."""
+    return replace(crowd_cold(made), events=[Event(at_s=1.0, kind='suspend', count=2, for_s=1.0)])
+
+
+def out_by_hand(made):
+    """Servers out by hand for most of a run, among slow ones."""
+    return replace(made, events=[Event(at_s=0.5, kind='suspend', count=2, for_s=4.0),
+                                 Event(at_s=0.5, kind='slow', count=2, for_s=4.0, size=6.0)])
+
+
+def emptied(made):
+    """A node emptied for a while, after a burst that leaves many connections resting."""
+    return replace(made, length_s=8.0, load=replace(made.load, rate=60.0), events=[
+        Event(at_s=0.2, kind='burst', for_s=0.8, size=5.0), Event(at_s=1.1, kind='away', count=1, for_s=5.0)],
+                   clients=replace(made.clients, fresh=0.0, rude=0.0))
+
+
 def declining(made):
     """Servers that turn away all that would wait."""
     kind = replace(made.kinds[0], count=9, cores=1, queue=0)
@@ -376,5 +448,11 @@
     ('noise_raises', 'raises on noise out of a protocol', noise_raises, ('garbled',)),
     ('missing_is_served', 'serves a client with a miss', missing_is_served, ('miss',)),
     ('half_is_whole', 'takes half an answer for a whole one', half_is_whole, ('halved',)),
+    ('ban_lost', 'forgets that a server is out by hand when a list names it', ban_lost, (), out_by_hand),
+    ('copy_to_suspended', 'sends a copy to a server that is out by hand', copy_to_suspended, (), out_by_hand),
+    ('back_as_warm', 'takes a server that was out by hand for a warm one', back_as_warm, (), cold_back),
+    ('idle_kept', 'keeps clients that rest on an emptied node', idle_kept, (), emptied),
+    ('never_away', 'says that it is ready though it is emptied', never_away, (), emptied),
+    ('never_back', 'does not take clients again', never_back, (), emptied),
     ('slots_reused', 'gives a slot\'s number out again', slots_reused, ('slow', 'hung', 'halved')),
 )}
--- a/lilacdyke/lab/scenario.py
+++ b/lilacdyke/lab/scenario.py
@@ -165,9 +165,10 @@
 
 FAULTS = ('slow', 'hung', 'garbled', 'halved', 'extra', 'crash', 'vanish', 'refuse', 'drain', 'replace', 'deploy', 'shrink', 'cut',
           'delay', 'resets', 'dribble', 'deaf', 'kill', 'term', 'hup', 'standstill', 'clock', 'step', 'descriptors',
-          'burst', 'hot', 'silence', 'lag', 'cut_watch', 'half_line', 'stale', 'miss', 'fetch_slow')
+          'suspend', 'away', 'burst', 'hot', 'silence', 'lag', 'cut_watch', 'half_line', 'stale', 'miss', 'fetch_slow')
 # What stands for the middle of the fault's target; a fault that takes none has no place in here.
 TARGETS = {'slow': 'cache', 'hung': 'cache', 'garbled': 'cache', 'halved': 'cache', 'extra': 'cache', 'crash': 'cache', 'vanish': 'cache',
+           'suspend': 'cache', 'away': 'node',
            'refuse': 'cache', 'drain': 'cache', 'replace': 'cache', 'resets': 'cache', 'deaf': 'cache', 'delay': 'cache',
            'cut': 'zone', 'kill': 'node', 'term': 'node', 'hup': 'node', 'standstill': 'node', 'clock': 'node',
            'step': 'node', 'descriptors': 'node', 'dribble': 'node', 'silence': 'node', 'cut_watch': 'node',
--- a/lilacdyke/lab/stage.py
+++ b/lilacdyke/lab/stage.py
@@ -11,10 +11,11 @@
 from .parts.discovery import Agent, Roster
 from .parts.model import Fleet, Model
 from .parts.servers import CacheServer
+from .parts.staff import Staff
 from .scenario import Kind
 from .witness import Witness
 
-PORT, ASK = 8000, 8500
+PORT, ASK, DOOR = 8000, 8500, 8100
 EPOCH_MS = 1_700_000_000_000            # simulated runs begin then
 SETTLE = 600_000                        # from the start to the first client, microseconds
 
@@ -24,6 +25,8 @@
 
     def __init__(self, number, zone, address, agent):
         self.number, self.name, self.zone, self.address, self.agent = number, 'n%d' % number, zone, address, agent
+        self.door = (address[0], DOOR)  # where staff call
+        self.away = 0                   # how often staff has had it emptied and not called it back
         self.open, self.running = False, None           # open: the front sends clients here
         self.known = None               # the list that its last process had, once that was killed
 
@@ -47,7 +50,7 @@
         self.strangers = False          # whether requests of others than the run's clients are served
         self.zones = [chr(97 + zone % 26) + str(zone // 26 or '') for zone in range(scenario.zones)]
         self.build()
-        self.crowd = Crowd(self)
+        self.crowd, self.staff = Crowd(self), Staff(self)
         self.faults = Faults(self)
 
     def number(self):
@@ -137,6 +140,7 @@
         agent = self.agents[place.number]
         return {
             'name': place.name, 'listen': '%s:%d' % (place.address[0], self.ground.port(place.address[1])),
+            'operator': '%s:%d' % (place.door[0], self.ground.port(place.door[1])),
             'discovery': '%s:%d' % (agent.address[0], self.ground.port(agent.address[1])),
             'seed': '%016x' % self.chance('seed %s %d' % (place.name, self.number())).getrandbits(64),
             'limits': {'cores': 1.0, 'memory_mb': scenario.limits.memory_mb, 'sockets': scenario.limits.sockets},
@@ -184,7 +188,7 @@
 
     def open_node(self, place, running):
         if place.running is running and running is not None:
-            place.open = True
+            place.open, place.away = True, 0
 
     def shut_node(self, place):
         """The front sends nobody there any more."""
--- a/lilacdyke/lab/witness.py
+++ b/lilacdyke/lab/witness.py
@@ -35,6 +35,8 @@
     'node': ('node', 'what'),
     'fault': ('kind', 'what', 'until'),
     'counters': ('node', 'counts'),
+    # staff: out, back (called), returned, with a server; away, active; ready, open with a status; kept with a count
+    'hand': ('node', 'what', 'about'),
     'error': ('node', 'text'),
 }
 
--- a/lilacdyke/net/handover.py
+++ b/lilacdyke/net/handover.py
@@ -11,6 +11,7 @@
 import json
 import os
 import stat
+from zlib import crc32
 
 from twisted.internet.interfaces import IFileDescriptorReceiver
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
@@ -21,7 +22,7 @@
 from ..values import SECOND, BadLine
 
 VERSION = 1
-PREFIX = 'lilacdyke-'                   # of the sockets' names
+PREFIX = 'lilacdyke-%08x-'              # of the sockets' names: whose, and then the process
 ANSWERS = 10_000                        # within this an elder has given what it has
 BINDS = 4_000                           # within this the other has said that a call binds it
 TELLS = 1_000                           # between two words on what is held
@@ -154,6 +155,7 @@
 
     def __init__(self, node, reactor, deadlines, clock, folder, limit, spare):
         self.node, self.reactor, self.deadlines, self.clock = node, reactor, deadlines, clock
+        self.prefix = PREFIX % crc32(repr((node.place.name, node.place.listen)).encode())
         self.folder, self.held = folder, None       # held: a descriptor of the folder, if its path is long
         self.succession = Succession(limit, spare)
         self.elder, self.heir, self.port = None, None, None
@@ -165,7 +167,7 @@
         """Look for an elder; begin(what it gave, its listening socket), or begin(None, None) where there is none."""
         self.begin = begin
         try:
-            found = [name for name in os.listdir(self.folder) if name.startswith(PREFIX)]
+            found = [name for name in os.listdir(self.folder) if name.startswith(self.prefix)]
             found = [(os.stat(os.path.join(self.folder, name)), name) for name in found]
         except OSError as err:
             warn('no look into the private folder', reason=err)
@@ -219,7 +221,7 @@
         """This process takes clients now, and may be asked by an heir."""
         if self.elder:
             self.elder.say(serves=True)
-        name = '%s%d' % (PREFIX, os.getpid())
+        name = '%s%d' % (self.prefix, os.getpid())
         try:
             if os.path.exists(os.path.join(self.folder, name)):
                 os.unlink(os.path.join(self.folder, name))          # of one with this number that was killed
--- a/lilacdyke/net/operator.py
+++ b/lilacdyke/net/operator.py
@@ -80,6 +80,11 @@
         self.table, self.port = Table(), None
         self.line = {}                  # callers by number, the longest there first
 
+    @property
+    def holds(self):
+        """Descriptors that are held here."""
+        return 1 + len(self.table)
+
     def listen(self, reactor, host, port):
         """Take calls from now on."""
         self.port = reactor.listenTCP(port, self, backlog=64, interface=host)
--- a/tests/lab/test_judges.py
+++ b/tests/lab/test_judges.py
@@ -49,6 +49,21 @@
     def test_a_sound_transaction(self):
         self.assertEqual(self.broken(UP, ask(), hop(), effect(1), made(), answer(), counters()), [])
 
+    def test_a_server_that_staff_has_out_gets_nothing_until_it_is_called_back(self):
+        out, back = ('hand', SECOND, 'n0', 'out', 'c0'), ('hand', 2 * SECOND, 'n0', 'back', 'c0')
+        for begun, told in ((SECOND - 10, []), (SECOND + 500_000, ['hands']), (2 * SECOND + 10, [])):
+            with self.subTest(begun=begun):
+                rows = ask(at=begun - 20), hop(at=begun), made(), answer(at=begun + 90), counters()
+                self.assertEqual(self.broken(UP, out, back, *rows), told)
+
+    def test_an_emptied_node_says_so_keeps_nobody_and_comes_back(self):
+        away, active = ('hand', SECOND, 'n0', 'away', ''), ('hand', 6 * SECOND, 'n0', 'active', '')
+        for row, told in ((('hand', 2 * SECOND, 'n0', 'ready', '200'), ['hands']), (('hand', 2 * SECOND, 'n0', 'ready', '503'), []),
+                          (('hand', 5 * SECOND, 'n0', 'kept', '1'), ['hands']), (('hand', 5 * SECOND, 'n0', 'kept', '0'), []),
+                          (('hand', 7 * SECOND, 'n0', 'open', '503'), ['hands']), (('hand', 7 * SECOND, 'n0', 'open', '200'), [])):
+            with self.subTest(row=row):
+                self.assertEqual(self.broken(UP, away, active, row), told)
+
     def test_never_answered(self):
         self.assertEqual(self.broken(UP, ask(), hop()), ['answered'])
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,8 +12,9 @@
 import time
 import unittest
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from zlib import crc32
 
-from lilacdyke.net.handover import Link
+from lilacdyke.net.handover import PREFIX, Link
 from lilacdyke.net.succession import Succession
 
 from .helpers import SETTINGS, Wire, asked, entry, node, page, said, sent
@@ -313,7 +314,8 @@
         self.first.kill()
         self.first.wait()
         with socket.socket(socket.AF_UNIX) as silent:
-            silent.bind(os.path.join(self.folder.name, 'lilacdyke-1'))
+            name = PREFIX % crc32(repr(('n0', ('127.0.0.1', self.listen))).encode())
+            silent.bind(os.path.join(self.folder.name, name + '1'))
             silent.listen(1)
             began = time.monotonic()
             new, door = self.begin()
