Connections rest briefly where a server has no place for a new one

Ruled out: full queues (no hop on a used connection was refused), the caches (15 of 4,045), discovery and the restarts themselves.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -18,6 +18,7 @@
 
 KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
 SETTLED = 100                           # after an answer, until its connection is trusted with the next hop
+CROWDED = 3 * SETTLED                   # how long a connection rests where a server has no place for more
 NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
 
 
@@ -68,8 +69,9 @@
         self.flow = None                # a large request on its way
         self.trip, self.unsent = None, b''      # unsent: what of the hop has not gone to the system
         self.left = True                # whether the hop's last byte has gone there
-        self.number, self.idle_until, self.timed = None, None, False
+        self.number, self.idle_until, self.timed = None, None, 0     # timed: when its deadline is; 0: none
         self.settled = 0                # when it may carry the next hop
+        self.used = False               # whether it has carried one
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -141,10 +143,13 @@
 
     def answered(self, answer):
         """All of an answer is here."""
-        kept = self.left and answer.lasting and not self.reader.begun
+        kept, how = self.left and answer.lasting and not self.reader.begun, ending(answer)
+        if how == 'refused' and not answer.lasting and not self.used:
+            self.pool.declined()
+        self.used = True
         if kept:
             self.pool.rest(self)
-        self.finish(ending(answer), answer)
+        self.finish(how, answer)
         if not kept:
             self.close()
 
@@ -243,13 +248,14 @@
 class Pool:
     """The connections to one server."""
 
-    __slots__ = ('caches', 'server', 'address', 'resting', 'waiting', 'dials', 'refused')
+    __slots__ = ('caches', 'server', 'address', 'resting', 'waiting', 'dials', 'refused', 'crowded')
 
     def __init__(self, caches, server, address):
         self.caches, self.server, self.address = caches, server, address
         self.resting = []               # idle connections, the latest used last
         self.waiting = deque()          # hops that wait for one
         self.dials = 0                  # connections that are being opened
+        self.crowded = 0                # until when it counts as having no place for more connections
         self.refused = False            # whether nobody listened there lately, so that its process had ended
 
     def send(self, trip):
@@ -265,6 +271,11 @@
         self.waiting.append(trip)
         self.dial()
 
+    def declined(self):
+        """A new connection was turned away at its first hop, and closed: the server has no place for more. Guards against
+        places that lie idle at one node while others are turned away."""
+        self.crowded = self.caches.clock() + self.caches.keep
+
     def dial(self):
         """Open a connection, within the time that the site allows."""
         self.dials += 1
@@ -406,15 +417,17 @@
             next(iter(self.resting.values())).close()
 
     def rest(self, link):
-        """Note an idle connection and until when it is kept: well before the server ends it."""
+        """Note an idle connection and until when it is kept: well before the server ends it, and hardly at all where others
+        find no place."""
         self.resting[link.number] = link
-        link.idle_until = self.clock() + self.keep
+        now = self.clock()
+        link.idle_until = now + (CROWDED if now < link.pool.crowded else self.keep)
         self.time(link)
 
     def time(self, link):
-        """Hang up its deadline; one a connection, however often it is used meanwhile."""
-        if not link.timed:
-            link.timed = True
+        """Hang up its deadline; one a connection, however often it is used meanwhile, and another where it is to go sooner."""
+        if not link.timed or link.idle_until < link.timed:
+            link.timed = link.idle_until
             self.deadlines.at(link.idle_until, self.idle_due, link.number)
 
     def idle_due(self, number):
@@ -422,7 +435,8 @@
         link = self.table.get(number)
         if link is None:
             return
-        link.timed = False
+        if link.timed <= self.clock():
+            link.timed = 0
         if number in self.resting:
             if self.clock() >= link.idle_until:
                 link.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -393,6 +393,17 @@
         cache.protocol.dataReceived(said(400))
         self.assertEqual((status(wire), self.ended(made), made.router.poor), (400, ['rejected'], 0))
 
+    def test_a_server_without_a_place_for_more_has_its_idle_connections_back_at_once(self):
+        for more, rests in (('Srv-Declined: 1\r\nConnection: close\r\n', 0.1), ('Srv-Declined: 1\r\n', 9)):
+            made = node()
+            sent(made, PUT % 'read')[1].protocol.dataReceived(said(503, more=more))
+            wire = dialled(made) if more.endswith('close\r\n') else None
+            if wire is None:
+                _, wire = sent(made, PUT.replace('Id: 1', 'Id: 2') % 'read')
+            wire.protocol.dataReceived(said())
+            made.reactor.pump([0.02] * 5)
+            self.assertEqual(wire.ended, rests < 1)
+
     def test_a_half_answer_is_no_answer(self):
         made = node()
         wire, cache = sent(made, PUT % 'once')
