Hand-over that cannot be used means a plain start; a large hop ends with its client

What an elder gives and cannot be used raised out of the start, so that the new process never served; a client that left within a large body kept its hop for ever where hops may not be cancelled. Both have tests that failed before. Ruled out by reading: the limit of a large request (it has one from its last byte).

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -54,6 +54,11 @@
             self.pool.waiting.remove(self)
         self.over(how)
 
+    @property
+    def flowing(self):
+        """Whether its body is large and has not gone whole."""
+        return self.message.source is not None and not (self.link and self.link.left)
+
     def over(self, how, answer=None):
         """The one ending."""
         self.link = None
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -112,11 +112,16 @@
             warn('cannot listen', reason=err)
             self.phase, self.exit = STOPPED, 1
             self.reactor.stop()
+        except Exception:
+            if told is None:
+                raise
+            LOG.exception('hand-over failed')       # what was given is of no use: a plain start
+            self.begin_or_end(None, None)
 
     def begin(self, told, fd):
         """Take the remembered list, or what an elder gave, listen, and open the watch."""
         try:
-            self.discovery.version, _, entries = read_list(told['list'] if told else self.place.known)
+            self.discovery.version, _, entries = read_list(told.get('list') if told else self.place.known)
             self.remember(entries)
         except BadLine as err:
             warn('remembered list not read', reason=err)
@@ -319,6 +324,9 @@
         """A client closed without waiting for its answer."""
         self.forget(errand)
         self.count('gone')
+        for passage in errand.passages[:]:
+            if passage.trip and passage.trip.flowing:
+                passage.trip.cut('unsent')      # the rest of its body will not come, so it never ran
         self.router.client_gone(self.clock(), errand.tx)
         self.settle()
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -132,6 +132,14 @@
         lost(wire)
         self.assertEqual((origin.aborted, len(made.errands)), (True, 0))
 
+    def test_it_goes_too_where_hops_may_not_be_cancelled(self):
+        made = node()
+        made.place.terms.may_cancel = False
+        wire = asked(made, PUT + 'abc')
+        origin = carried(made)
+        lost(wire)
+        self.assertEqual((origin.aborted, len(made.passages), made.counts['hops_unsent']), (True, 0, 1))
+
     def test_a_body_at_64_kb_a_second_is_waited_for_and_one_that_drips_is_not(self):
         for pieces, told in ((6_400, None), (10, 408)):
             made = node()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -86,6 +86,16 @@
         self.assertEqual((heir.phase, heir.ready(), heir.router.banned('c0'), heir.servers['c0'].state, heir.servers['o'].state,
                           heir.discovery.version), ('away', False, True, 'banned', 'ready', 4))
 
+    def test_what_is_given_and_cannot_be_used_means_a_plain_start(self):
+        for told in ({}, {'list': 3, 'away': True}, {'list': self.made.legacy()['list'], 'hand': {'c0': 7}, 'away': False}):
+            with self.subTest(told=told):
+                heir = node(operator='127.0.0.1:9002')
+                heir.kin = self.kin_of(heir)
+                heir.kin.serves = lambda: None
+                heir.begin_or_end(dict(told, v=1), None)
+                self.assertIn(heir.phase, ('serving', 'away'))
+                self.assertIn('c0', heir.router.known)
+
     def test_a_call_is_a_yes_once_it_binds_both(self):
         caller = Wire()
         protocol = self.made.desk.buildProtocol(None)
