A client that leaves within a large body: the module hears of it before its hop is cut

Cause: client_gone cut the hop first, so the module, not yet told, gave a last word to nobody. Ruled out: the reply's own path (client None only there). The test of that case asserts it now and failed before.

--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -324,10 +324,10 @@
         """A client closed without waiting for its answer."""
         self.forget(errand)
         self.count('gone')
+        self.router.client_gone(self.clock(), errand.tx)
         for passage in errand.passages[:]:
             if passage.trip and passage.trip.flowing:
                 passage.trip.cut('unsent')      # the rest of its body will not come, so it never ran
-        self.router.client_gone(self.clock(), errand.tx)
         self.settle()
 
     def forget(self, errand):
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -139,6 +139,7 @@
         origin = carried(made)
         lost(wire)
         self.assertEqual((origin.aborted, len(made.passages), made.counts['hops_unsent']), (True, 0, 1))
+        self.assertEqual((made.counts['rolled_back'], made.counts['abandoned']), (0, 0))       # it had its last word
 
     def test_a_body_at_64_kb_a_second_is_waited_for_and_one_that_drips_is_not(self):
         for pieces, told in ((6_400, None), (10, 408)):
