Read-through: one path for operators' calls, one room, no state of an elder that nobody reads

Behaviour is as it was. The desk's five methods differed in their words only: one table, and the node's own bound(), which the hand-over calls too. Succession held where the elder stands and a branch of room() that nothing asked; elder_gave was elder_told again. do_abandon worked out what Router.over tells; three places asked for can_serve()'s phases; a door yielded was shared out twice. Tests keep their assertions.

--- a/lilacdyke/net/handover.py
+++ b/lilacdyke/net/handover.py
@@ -207,7 +207,7 @@
             self.next_elder()
             return
         holds = told.get('holds')
-        self.succession.elder_gave(holds if isinstance(holds, int) else 0)
+        self.succession.elder_told(holds if isinstance(holds, int) else 0)
         fd, link.fd = link.fd, None
         self.decided(told, fd)
         os.close(fd)                    # the reactor has its own by now
@@ -246,7 +246,6 @@
         """The heir takes clients; this process empties itself."""
         self.succession.heir_serves()
         say('heir serves', open=len(self.node.errands), clients=len(self.node.front.table))
-        self.node.share_out()
         self.tell_holds(0)
 
     def tell_holds(self, _):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -141,7 +141,7 @@
 
     def ready(self):
         """Whether clients should come here."""
-        here = self.phase in (SERVING, AWAY) or self.phase == DRAINING and self.succeeded
+        here = self.can_serve() or self.phase == DRAINING and self.succeeded
         return here and not self.gone_away and bool(self.router.caches)
 
     def can_serve(self):
@@ -157,7 +157,7 @@
         if self.phase == STARTING:
             self.phase = STOPPED
             self.reactor.stop()
-        elif self.phase in (SERVING, AWAY):
+        elif self.can_serve():
             self.phase = DRAINING
             say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table),
                 succeeded=self.succeeded)
@@ -242,12 +242,12 @@
         return bool(self.kin) and self.kin.succeeded
 
     def bound(self, verb, name=None):
-        """A call that an operator made at the other process binds this one too."""
-        getattr(self, verb)(*([] if name is None else [name]))
+        """A call of an operator, here or at the other process, by its name in here. Whether it is a yes."""
+        return getattr(self, verb)(*([] if name is None else [name]))
 
     def door_fd(self):
         """The listening socket, while there is one to give."""
-        return self.front.port.fileno() if self.phase in (SERVING, AWAY) and not self.succeeded else None
+        return self.front.port.fileno() if self.can_serve() and not self.succeeded else None
 
     def holds(self):
         """Descriptors that this process holds or may still take."""
@@ -265,7 +265,7 @@
             self.front.budget = max(LEAST, len(self.front.table))
             self.caches.shrink(LEAST)
         else:
-            self.front.budget = self.caches.budget = self.part(self.kin.succession.room(0))
+            self.front.budget = self.caches.budget = self.part(self.kin.succession.room)
         if self.front.port:
             self.front.see_to_room()
             self.front.see_to_door()
@@ -502,7 +502,7 @@
     def do_abandon(self, tx):
         """Nothing can be promised."""
         self.count('abandoned')
-        late = tx.limit is not None and self.clock() >= tx.limit
+        late = self.router.over(self.clock(), tx)
         self.reply(tx.ref, 504 if late else 502, 'it may have taken effect\n')
 
     def do_watch(self):
--- a/lilacdyke/net/operator.py
+++ b/lilacdyke/net/operator.py
@@ -9,16 +9,20 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from . import http
-from .node import STARTING
 from .http import BadMessage, Reader
 from .logs import LOG
+from .node import STARTING
 from .tables import Table
 
 MOST = 12                               # callers at once; the longest there makes way for the next
 STAYS = 50_000                          # until a caller that has not finished its call is told to go
 PARTS = 10_000                          # until one that has its answer and does not close is cut
-CALLS = {(b'v1', b'readyz'): 'readyz', (b'v1', b'node', b'drain'): 'drain', (b'v1', b'node', b'activate'): 'activate'}
+CALLS = {(b'v1', b'readyz'): 'can_serve', (b'v1', b'node', b'drain'): 'empty', (b'v1', b'node', b'activate'): 'activate'}
 HANDS = {b'suspend': 'suspend', b'resume': 'resume'}
+# What a caller is told on a yes; on a no, with its status.
+WORDS = {'can_serve': ('ready', 503, 'not ready'), 'empty': ('clients are sent away', 503, 'not now'),
+         'activate': ('clients may come', 503, 'not now'), 'suspend': ('out', 404, 'no such cache server'),
+         'resume': ('in use', 404, 'no such cache server')}
 
 
 class Caller(Protocol):
@@ -123,7 +127,7 @@
         call, allowed, name = CALLS.get(tuple(path)), b'POST', None
         if path[:2] == [b'v1', b'cache-servers'] and len(path) == 4:
             call, name = HANDS.get(path[3]), unquote(path[2].decode('latin-1'))
-        if call == 'readyz':
+        if call == 'can_serve':
             allowed = b'GET'
         if self.node.phase == STARTING:
             reply(503, 'not ready')
@@ -132,36 +136,15 @@
         elif method != allowed:
             reply(405, '%s only' % allowed.decode(), 'Allow: %s\r\n' % allowed.decode())
         else:
-            getattr(self, call)(reply, name)
-
-    def bind(self, verb, name, reply, status, text):
-        """Answer once a call binds the other process of this node too, if there is one."""
-        kin = self.node.kin
-        if kin and status == 200:
-            kin.bind(verb, name, lambda: reply(status, text))
+            self.tell(call, name, reply)
+
+    def tell(self, verb, name, reply):
+        """A call to the node. A yes to what changes something is given once it binds the other process of this node too, if
+        there is one."""
+        yes, status, no = WORDS[verb]
+        if not self.node.bound(verb, name):
+            reply(status, no)
+        elif self.node.kin and verb != 'can_serve':
+            self.node.kin.bind(verb, name, lambda: reply(200, yes))
         else:
-            reply(status, text)
-
-    def readyz(self, reply, _):
-        """Whether this process can serve."""
-        reply(*((200, 'ready') if self.node.can_serve() else (503, 'not ready')))
-
-    def drain(self, reply, _):
-        """Empty the node."""
-        done = self.node.empty()
-        self.bind('empty', None, reply, *((200, 'clients are sent away') if done else (503, 'not now')))
-
-    def activate(self, reply, _):
-        """Let clients come again."""
-        done = self.node.activate()
-        self.bind('activate', None, reply, *((200, 'clients may come') if done else (503, 'not now')))
-
-    def suspend(self, reply, name):
-        """Take a cache server out."""
-        done = self.node.suspend(name)
-        self.bind('suspend', name, reply, *((200, 'out') if done else (404, 'no such cache server')))
-
-    def resume(self, reply, name):
-        """Use a cache server again."""
-        done = self.node.resume(name)
-        self.bind('resume', name, reply, *((200, 'in use') if done else (404, 'no such cache server')))
+            reply(200, yes)
--- a/lilacdyke/net/succession.py
+++ b/lilacdyke/net/succession.py
@@ -4,22 +4,22 @@
 leave a moment in which neither takes clients while one of them could.
 
 One Succession a process. It may have an elder (the process before it) and an heir (the one after it) at once. Inputs
-only update it; the host then looks at accepting, emptying and room().
+only update it; the host then looks at accepting and room.
 """
 
-# Where each stands to the other: none; state and queue given, or taken; the heir serves.
+# Where the heir stands: there is none; it has state and queue; it serves.
 NONE, GIVEN, SERVES = 'none', 'given', 'serves'
 
 
 class Succession:
     """Where this process stands between the one before it and the one after it."""
 
-    __slots__ = ('limit', 'spare', 'elder', 'heir', 'elder_holds', 'ending')
+    __slots__ = ('limit', 'spare', 'heir', 'elder_holds', 'ending')
 
     def __init__(self, limit, spare):
         self.limit, self.spare = limit, spare       # descriptors of the whole node; what each process sets aside
-        self.elder, self.heir = NONE, NONE
-        self.elder_holds = 0
+        self.heir = NONE
+        self.elder_holds = 0            # descriptors of the process before this one, while there is one
         self.ending = False             # SIGTERM has come
 
     # --- inputs -----------------------------------------------------------------------------------------
@@ -41,17 +41,13 @@
         if not (self.ending and self.heir == SERVES):
             self.heir = NONE            # else it has the node for good, as far as this process knows
 
-    def elder_gave(self, holds):
-        """The elder has given state and queue, and holds so many descriptors."""
-        self.elder, self.elder_holds = GIVEN, holds
-
     def elder_told(self, holds):
-        """It holds so many now."""
+        """The elder holds so many descriptors now."""
         self.elder_holds = holds
 
     def elder_gone(self):
         """It has ended; all is this process's."""
-        self.elder, self.elder_holds = NONE, 0
+        self.elder_holds = 0
 
     def end(self):
         """This process is to exit."""
@@ -64,9 +60,8 @@
         """Whether this process takes new clients."""
         return self.heir != SERVES
 
-    def room(self, held):
-        """How many descriptors clients and servers may hold here, of which so many are held now. An elder whose
-        heir serves gets nothing more: what it lets go is the heir's."""
-        if self.heir == SERVES:
-            return held
+    @property
+    def room(self):
+        """How many descriptors clients and servers may hold here, while no heir serves: then what is let go is the
+        heir's."""
         return max(0, self.limit - self.spare - self.elder_holds)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -46,12 +46,12 @@
 
     def test_together_they_stay_within_the_limit(self):
         heir = Succession(384, 32)
-        heir.elder_gave(150)
-        rooms = [heir.room(0)]
+        heir.elder_told(150)
+        rooms = [heir.room]
         heir.elder_told(60)
-        rooms.append(heir.room(0))
+        rooms.append(heir.room)
         heir.elder_gone()
-        self.assertEqual(rooms + [heir.room(0)], [202, 292, 352])
+        self.assertEqual(rooms + [heir.room], [202, 292, 352])
 
 
 class Pair(Quiet):
