A node lets nobody in before discovery's first word: late sends after a restart

Ruled out: discovery's lag (the list line lies ready at the agent; it is read 20 ms of wall time later), the drain that comes while a connection comes up (net/caches.py asks again before it writes). Fault: Node.begin set the phase to serving and let clients in with the remembered list before the watch had said a word. Change: the door listens at once but lets nobody in until the first word, or until the first watch is lost (no connection, or silent for a second); an heir goes on with its elder's list at once.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -402,7 +402,8 @@
     def see_to_door(self):
         """Look at who waits at the door, or leave them there."""
         if not self.shut:
-            (self.port.stopReading if self.full or self.yielded else self.port.startReading)()
+            closed = self.full or self.yielded or not self.node.began()
+            (self.port.stopReading if closed else self.port.startReading)()
 
     def crowded(self):
         """No descriptor is left for who waits at the door, though the budget has one: something else holds them. Guards
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -119,7 +119,9 @@
             self.begin_or_end(None, None)
 
     def begin(self, told, fd):
-        """Take the remembered list, or what an elder gave, listen, and open the watch."""
+        """Take the remembered list, or what an elder gave, listen, and open the watch. Clients wait at the door for
+        discovery's first word, or for the first watch to be lost: guards against sends to servers that drained
+        while nobody was here, as the agent holds word of that from the start on. An elder's list is as new."""
         try:
             self.discovery.version, _, entries = read_list(told.get('list') if told else self.place.known)
             self.remember(entries)
@@ -128,14 +130,23 @@
         if told:
             self.inherit(told)
         self.front.listen(self.reactor, *self.place.listen, *([fd] if fd is not None else []))
-        self.phase = AWAY if self.gone_away else SERVING
-        if self.kin:
-            self.share_out()
-            self.kin.serves()
+        self.front.see_to_door()
+        if told:
+            self.serve()
         if self.discovery.pushed:
             self.discovery.open()
         self.settle()
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
+
+    def serve(self):
+        """Let clients in, from now on."""
+        if self.phase != STARTING:
+            return
+        self.phase = AWAY if self.gone_away else SERVING
+        self.front.see_to_door()
+        if self.kin:
+            self.share_out()
+            self.kin.serves()
         say('serving', node=self.place.name, address='%s:%d' % self.place.listen, servers=len(self.servers),
             descriptors=self.descriptors())
 
@@ -144,6 +155,10 @@
         here = self.can_serve() or self.phase == DRAINING and self.succeeded
         return here and not self.gone_away and bool(self.router.caches)
 
+    def began(self):
+        """Whether clients have been let in."""
+        return self.phase != STARTING
+
     def can_serve(self):
         """Whether this process serves whoever comes, wherever clients are sent."""
         return self.phase in (SERVING, AWAY)
@@ -154,6 +169,8 @@
 
     def drain(self, signum=signal.SIGTERM):
         """SIGTERM: answer all that is taken and all that still comes, then exit."""
+        if self.front.port:
+            self.serve()                # who waits at the door is owed an answer too
         if self.phase == STARTING:
             self.phase = STOPPED
             self.reactor.stop()
@@ -421,6 +438,7 @@
             self.caches.forget(server)
         self.caches.tidy()
         say('list', whole=whole, entries=len(rows), caches=len(self.router.caches))
+        self.serve()
         self.settle()
 
     def remember(self, entries):
@@ -441,6 +459,7 @@
         if not self.discovery.pushed:
             self.router.list_failed(self.clock())
             self.settle()
+        self.serve()
 
     # --- decisions --------------------------------------------------------------------------------------
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -23,7 +23,7 @@
                   Profile('once', NON_IDEMPOTENT, 'all', 0, 5000, 0)],
         tenants=[], nodes=2, zone=0, aside=False, watched=False, may_copy=True, may_cancel=True, max_hops=5,
         max_return=0, ask_within=100_000, fall_multiple=3, fall_window=10_000, cold_from=0.2,
-        warm_up=100_000, tick=10, open_price=0, keep_price=0)
+        warm_up=100_000, tick=10, open_price=0, keep_price=0, cross_price=0, waste_price=0)
     given.update(other)
     return SiteTerms(**given)
 
@@ -81,7 +81,7 @@
                   'lateRevenue': 0.0, 'hardLimitS': 2.0},
                  {'name': 'once', 'effect': 'single_shot', 'group': 'all', 'repeatWindowS': 1,
                   'serviceGoalS': 0.5, 'lateRevenue': 0.0, 'hardLimitS': 2.0}],
-    'fees': {'handshake': 0.0, 'connection': 0.0}, 'tenants': [],
+    'fees': {'handshake': 0.0, 'connection': 0.0, 'crossZone': 0.01, 'waste': 0.05}, 'tenants': [], 'dcs': ['a', 'b'],
     'familyInfo': {'mode': 'aside', 'originKind': 1},
     'limits': {'retryAfter': True, 'mayDuplicate': True, 'cancel': True, 'maxHops': 5, 'maxRetryAfterS': 1.0,
                'connIdleS': 15.0, 'connectTimeoutS': 0.25},
@@ -178,8 +178,8 @@
         self.elapsed = reactor.seconds
 
 
-def node(**other):
-    """A node that serves, on a reactor of its own; its clock is that reactor's."""
+def starting(**other):
+    """A node that has begun and heard nothing yet, on a reactor of its own; its clock is that reactor's."""
     reactor = MemoryReactorClock()
     reactor.listenTCP = Port
     made = Node(place(page(**other)), reactor, Machine(reactor))
@@ -187,6 +187,13 @@
     return made
 
 
+def node(**other):
+    """The same, serving."""
+    made = starting(**other)
+    made.serve()
+    return made
+
+
 def client(made):
     """A client's connection to the node: (protocol, wire)."""
     protocol, wire = made.front.buildProtocol(None), Wire()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,12 +13,12 @@
 from lilacdyke.net import front as front_module
 from lilacdyke.net.discovery import Entry, started
 from lilacdyke.net.logs import KeyValue, Sparse
-from lilacdyke.net.node import DRAINING, SERVING, STOPPED
+from lilacdyke.net.node import DRAINING, SERVING, STARTING, STOPPED
 from lilacdyke.net.sockets import Door
 from lilacdyke.net.tables import Deadlines, Table
 from lilacdyke.values import BadLine
 
-from .helpers import Wire, asked, client, dialled, entry, lost, node, page, refused, said, sent
+from .helpers import Wire, asked, client, dialled, entry, lost, node, page, refused, said, sent, starting
 
 READY = 'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n'
 PUT = 'PUT /%s/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\nhi'
@@ -666,6 +666,26 @@
 
 
 class Phases(Quiet):
+    def test_nobody_is_let_in_before_discovery_has_spoken(self):
+        """Herd day: sends to a server that had drained while the node was down, 0.45 s after its start."""
+        made, open_ = starting(), []
+        made.front.port.startReading = lambda: open_.append(made.phase)
+        before = (made.phase, made.ready())
+        made.reactor.advance(0.4)
+        made.listed(False, [Entry(entry('c0', state='DRAINING'))])
+        self.assertEqual((before, open_, made.ready()), ((STARTING, False), [SERVING], False))
+
+    def test_a_discovery_that_is_silent_or_away_keeps_nobody_out_for_long(self):
+        silent, away = starting(), starting()
+        silent.reactor.pump([0.1] * 11)
+        refused(away)
+        self.assertEqual((silent.phase, away.phase), (SERVING, SERVING))
+
+    def test_told_to_end_before_it_serves_it_lets_in_who_waits(self):
+        made = starting()
+        made.drain()
+        self.assertEqual(made.phase, DRAINING)
+
     def test_ready_only_when_it_can_serve(self):
         empty = {'generation': 0, 'reset': True, 'instances': []}
         for made, expected in ((node(), 200), (node(known=empty), 503), (node(known={}), 503)):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,7 +17,7 @@
 from lilacdyke.net.handover import PREFIX, Link
 from lilacdyke.net.succession import Succession
 
-from .helpers import SETTINGS, Wire, asked, entry, node, page, said, sent
+from .helpers import SETTINGS, Wire, asked, entry, node, page, said, sent, starting
 from .test_net import READY, Quiet, status
 
 
@@ -79,7 +79,7 @@
     def test_the_heir_goes_on_with_what_binds(self):
         self.made.suspend('c0'), self.made.empty()
         told = json.loads(json.dumps(self.made.legacy()))
-        heir = node(operator='127.0.0.1:9002', known={})
+        heir = starting(operator='127.0.0.1:9002', known={})
         heir.discovery.version, heir.kin = None, self.kin_of(heir)
         heir.kin.serves = lambda: None
         heir.begin(dict(told, v=1), None)
@@ -89,7 +89,7 @@
     def test_what_is_given_and_cannot_be_used_means_a_plain_start(self):
         for told in ({}, {'list': 3, 'away': True}, {'list': self.made.legacy()['list'], 'hand': {'c0': 7}, 'away': False}):
             with self.subTest(told=told):
-                heir = node(operator='127.0.0.1:9002')
+                heir = starting(operator='127.0.0.1:9002')
                 heir.kin = self.kin_of(heir)
                 heir.kin.serves = lambda: None
                 heir.begin_or_end(dict(told, v=1), None)
