--- a/lilacdyke/decode.py
+++ b/lilacdyke/decode.py
@@ -83,19 +83,39 @@
         cold_from=find(tree, 'safety.coldFrom', real),
         warm_up=up(find(tree, 'safety.warmUpS', real)),
         tick=up(find(tree, 'tickS', real)),
-        open_price=find(tree, 'fees.handshake', real),
-        keep_price=find(tree, 'fees.connection', real))
+        cross_price=find(tree, 'fees.crossZone', real), waste_price=find(tree, 'fees.waste', real))
     if not terms.profiles or min(profile.goal for profile in terms.profiles) <= 0 or terms.nodes < 1:
         raise BadLine('settings: no profile, a goal of nothing, or no node')
     origin_kind = find(tree, 'familyInfo.originKind', int) if terms.aside else -1
     return terms, find(tree, 'rank', int), origin_kind
 
 
+def shape(tree):
+    """Refuse settings that mix the shapes of deployment: what is priced or used but, by another key, not there.
+    Returns the zones' names with their numbers, as lists on sockets name zones."""
+    real, zones = (int, float), find(tree, 'dcs', list)
+    if not zones or not all(isinstance(zone, str) for zone in zones) or len(set(zones)) < len(zones):
+        raise BadLine('out of form: dcs: %.200r' % zones)
+    probing, peers = find(tree, 'limits.probing', bool), find(tree, 'limits.peers', bool)
+    how = _choice(tree, 'stats.how', ('inline', 'on_probe', 'off'))
+    for key, mixed, why in (
+            ('zone', not 0 <= find(tree, 'zone', int) < len(zones), 'no such zone in dcs'),
+            ('rank', not 0 <= find(tree, 'rank', int) < find(tree, 'balancers', int), 'not under balancers'),
+            ('fees.crossZone', len(zones) == 1 and find(tree, 'fees.crossZone', real) > 0, 'dcs has one zone'),
+            ('fees.probe', not probing and find(tree, 'fees.probe', real) > 0, 'limits.probing is false'),
+            ('stats.how', not probing and how == 'on_probe', 'limits.probing is false'),
+            ('stats.fields', how == 'off' and find(tree, 'stats.fields', list) != [], 'stats.how is off'),
+            ('fees.peer', not peers and find(tree, 'fees.peer', real) > 0, 'limits.peers is false')):
+        if mixed:
+            raise BadLine('settings mix two shapes: %s: %s' % (key, why))
+    return {zone: number for number, zone in enumerate(zones)}
+
+
 class Place:
     """What one node on sockets is told of itself. Addresses are pairs of a literal host and a port."""
 
     __slots__ = ('name', 'listen', 'discovery', 'seed', 'sockets', 'known', 'terms', 'rank', 'origin_kind',
-                 'idle', 'connect_within', 'memory', 'operator')
+                 'idle', 'connect_within', 'memory', 'operator', 'zones')
 
     def __init__(self, **given):
         for name in self.__slots__:
@@ -137,7 +157,8 @@
         terms=terms, rank=rank, origin_kind=kinds[origin] if origin >= 0 else None,
         idle=down(find(tree, 'settings.limits.connIdleS', (int, float))),
         connect_within=within, memory=find(tree, 'limits.memory_mb', int) << 20,
-        operator=address(find(tree, 'operator', str)) if 'operator' in tree else None)
+        operator=address(find(tree, 'operator', str)) if 'operator' in tree else None,
+        zones=shape(find(tree, 'settings', dict)))
 
 
 def page(path):
--- a/lilacdyke/lab/stage.py
+++ b/lilacdyke/lab/stage.py
@@ -153,11 +153,16 @@
                              for p in scenario.profiles],
                 'tenants': [{'name': t.name, 'quotaPerS': t.share * scenario.load.rate
                              / sum(t.share for t in scenario.tenants)} for t in scenario.tenants],
-                'fees': {'handshake': scenario.prices.handshake, 'connection': scenario.prices.connection},
+                'fees': {'handshake': scenario.prices.handshake, 'connection': scenario.prices.connection,
+                         'crossZone': 0.0, 'waste': scenario.prices.waste,
+                         'probe': 0.0, 'peer': 0.0},
+                'stats': {'how': 'off', 'fields': []},
+                'dcs': self.zones,
                 'familyInfo': {'mode': scenario.caches.mode, 'originKind': len(scenario.kinds)},
                 'limits': {'retryAfter': rules.retry_after_s > 0, 'mayDuplicate': rules.may_copy,
                            'cancel': rules.may_cancel, 'maxHops': rules.max_hops, 'maxRetryAfterS': rules.retry_after_s,
-                           'connIdleS': scenario.caches.idle_s, 'connectTimeoutS': 0.25},
+                           'connIdleS': scenario.caches.idle_s, 'connectTimeoutS': 0.25,
+                           'probing': True, 'peers': False},
                 'safety': {'stopSendingWithinS': rules.drain_grace_ms / 1000, 'askWithinS': 10.0,
                            'fallMultiple': rules.fall_multiple, 'overloadForS': rules.fall_s,
                            'coldFrom': rules.cold_from, 'warmUpS': rules.warm_s}}}
--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -9,7 +9,6 @@
     ('roll_back', tx, after)  final answer: trying again is harmless, best after so long (0: no hint)
     ('abandon', tx)           final answer: nothing is promised
     ('watch',)                ask for the list's changes; ('wake', when) pull again then
-    ('close', server)         close the connections to it that are idle
     ('log', text)             a line for staff
 The host's operators call suspend and resume.
 The host passes the first committed answer on by itself. Times are whole tenths of a millisecond.
@@ -31,8 +30,9 @@
 RACES, LOOKUPS = 16, 32  # the paper's windows
 OVER, MARGIN = 2, 2     # passed over: more than OVER times the mean in-flight plus MARGIN
 START = 32.0            # hops out at one server before anything is known of it
-BURST = 4               # transactions that a tenant may be ahead of its share, where that is small
 COPY_SHARE = 0.25       # copies, as a share of the reads taken
+NEAR = 1 << 30          # how much more a cache of the node's own zone counts for a key that stays near
+PAST = 256              # reads by which a key counts as known
 STRAIN = 0.25           # share of hops ending late or badly from which a jam is fought
 BANS = 256              # servers that are, or lately were, out by hand
 MASK = (1 << 64) - 1
@@ -89,6 +89,30 @@
         return int(mean), int(square ** 0.5)
 
 
+class Lookups:
+    """How often each key was among the latest reads."""
+
+    __slots__ = ('marks', 'counts', 'most')
+
+    def __init__(self, most):
+        self.marks, self.counts, self.most = deque(), {}, most
+
+    def add(self, mark):
+        """Count one more; whether it was there already."""
+        if len(self.marks) == self.most:
+            old = self.marks.popleft()
+            self.counts[old] -= 1
+            if not self.counts[old]:
+                del self.counts[old]
+        self.marks.append(mark)
+        self.counts[mark] = self.counts.get(mark, 0) + 1
+        return self.counts[mark] > 1
+
+    def part(self, mark):
+        """A key's part of these reads, beyond the one that any key would have."""
+        return max(0, self.counts.get(mark, 0) - 1) / max(RACES, len(self.marks))
+
+
 class Pace:
     """When a copy follows a first hop to one cache: the paper's three rules."""
 
@@ -130,7 +154,7 @@
 
     __slots__ = ('name', 'origin', 'mark', 'state', 'told', 'weight', 'started', 'zone', 'cell', 'out',
                  'share', 'doubt', 'raised', 'pace', 'credit', 'dated', 'bear', 'eased',
-                 'lag', 'heard', 'last', 'every')
+                 'lag', 'heard')
 
     def __init__(self, name, origin):
         self.name, self.origin = name, origin
@@ -143,7 +167,6 @@
         self.raised = 0         # when its share was last raised
         self.bear, self.eased = START, 0    # hops out that it is seen to bear; when that was last cut
         self.lag, self.heard = 0, 0         # how long its answers take lately; when that was last seen
-        self.last, self.every = 0, 0        # when this node last sent there, and how often it does
         self.credit, self.dated = 0, 0      # hops it may get while cold; when that was last filled
         self.pace = None
 
@@ -151,28 +174,29 @@
 class Hop:
     """One attempt of a transaction at a server."""
 
-    __slots__ = ('tx', 'server', 'index', 'sent', 'out', 'copy', 'ran', 'dropped', 'weight')
+    __slots__ = ('tx', 'server', 'index', 'sent', 'out', 'copy', 'ran', 'failed', 'dropped', 'weight')
 
     def __init__(self, tx, server, now, copy):
         self.tx, self.server, self.sent, self.copy = tx, server, now, copy
         self.index = len(tx.hops)
         self.weight = 0 if tx.limit is None else 1      # of the server's hops out; 0: its body still comes
-        self.out, self.ran, self.dropped = True, True, False    # ran: may have
+        self.out, self.ran, self.failed, self.dropped = True, True, False, False    # ran: may have
 
 
 class Tx:
     """A transaction that this node has taken."""
 
-    __slots__ = ('ref', 'profile', 'tenant', 'key', 'mark', 'taken', 'limit', 'write', 'read', 'hops', 'out',
-                 'done', 'rank', 'next', 'delay', 'missed', 'held', 'again', 'excess', 'copied', 'queued',
-                 'twice', 'spent')
+    __slots__ = ('ref', 'profile', 'key', 'mark', 'taken', 'limit', 'write', 'read', 'hops', 'out',
+                 'done', 'rank', 'next', 'delay', 'missed', 'held', 'again', 'copied', 'queued',
+                 'twice', 'spent', 'known')
 
-    def __init__(self, profile, tenant, key, mark, now, limit, write):
+    def __init__(self, profile, key, mark, now, limit, write):
         self.ref = None         # the host's own mark
-        self.profile, self.tenant, self.key, self.mark = profile, tenant, key, mark
+        self.profile, self.key, self.mark = profile, key, mark
         self.taken, self.limit, self.write = now, limit, write  # limit None: its body still comes
         # May be out twice, cut and sent anew; what is too large to be held may not.
         self.read = profile.effect == IDEMPOTENT and not write and limit is not None
+        self.known = False      # its key was read here lately
         self.spent = False      # its body has gone to a server and is not held
         self.hops, self.out, self.done = [], 0, False
         self.rank = None        # caches by rendezvous rank, once needed
@@ -180,28 +204,7 @@
         self.missed = None      # the first cache that lacked the key
         self.held = False       # waits for another's fetch, or for a place to fetch
         self.again = None       # the cache to ask again after another's fetch
-        self.excess, self.copied, self.queued = False, False, False
-
-
-class Tenancy:
-    """One tenant's share at this node, as a bucket that fills with the quota. It holds a second of that, but
-    a few transactions at least: the part of a node among hundreds is under one a second."""
-
-    __slots__ = ('rate', 'most', 'level', 'at')
-
-    def __init__(self, per_second):
-        self.rate, self.most = per_second / 10_000, max(per_second, BURST)
-        self.level, self.at = self.most, None
-
-    def over(self, now):
-        """Count one transaction; whether it is beyond the share."""
-        if self.at is not None:
-            self.level = min(self.most, self.level + self.rate * (now - self.at))
-        self.at = now
-        if self.level < 1:
-            return True
-        self.level -= 1
-        return False
+        self.copied, self.queued = False, False
 
 
 class Router:
@@ -214,22 +217,22 @@
         self.goal = min(goals)
         self.unit = max(1, self.goal // 32)
         self.hint = min(terms.max_return, self.goal)    # when to come back if turned away; 0: not told
-        self.tenancies = [Tenancy(tenant.quota / terms.nodes) for tenant in terms.tenants]
         self.caches, self.origin, self.known = [], None, {}
         self.handed = False     # whether another process of this node has its cold budgets
         self.hand = {}          # by name, servers out by hand: since when, and until when, None: still
         self.ready, self.alarms, self.asked, self.turn = deque(), [], None, 0   # ready: looked at next
-        self.logs, self.idle = deque(), deque()     # idle: servers whose connections may not be worth keeping
+        self.logs = deque()
         self.last, self.every, self.often = 0, 0, True  # the last transaction; how far apart; whether close
         self.copies_left = 1.0
         self.smooth, self.poor = 1.0, 0.0       # hops that ended well, and badly, lately
-        # When the caches were surveyed; the most that warm ones served in a window, a weight; what all bear.
-        self.surveyed, self.usual, self.borne = None, 0, 0
+        # When the caches were surveyed; the most that warm ones served in a window, a weight.
+        self.surveyed, self.usual = None, 0
         self.served, self.window = 0, 0         # what warm caches served in the present window; its start
         self.total_out = 0              # hops that wait at caches
         self.fetching, self.followers = {}, {}   # by key: who fetches, who waits for that
         self.queue = deque()            # reads that wait for a place to fetch
         self.fetches = Histogram(self.unit)
+        self.past, self.recent = Lookups(PAST), Lookups(LOOKUPS)    # reads
         self.lag, self.heard = 0, 0     # how long reads at caches take lately; when one was last seen
         self.watch_at, self.failures = 0 if terms.watched else None, 0
 
@@ -271,7 +274,7 @@
             server.share, server.doubt, server.raised, server.eased = 1, 0, now, now
             server.started = started
             server.bear = max(MARGIN, START * self.presence(now, server))
-            server.lag, server.last = self.lag, now
+            server.lag = self.lag
             server.pace = Pace(self.unit)
             server.credit, server.dated = self.chance(), now
         server.told, server.weight, server.zone, server.cell = state, weight, zone, cell
@@ -340,14 +343,16 @@
 
     # --- transactions -----------------------------------------------------------------------------------
 
-    def take(self, now, row, tenant, key, limit, write, since):
+    def take(self, now, row, key, limit, write, since):
         """A transaction arrives, since then at the node's door; one final answer is owed from here on."""
         self.last, self.every = now, (7 * self.every + now - self.last) / 8 if self.last else 0
         self.often = 3 * self.every * len(self.caches) <= 2 * self.goal
         mark = crc32(key.encode()) if key is not None else int(self.chance() * (1 << 32))
-        tx = Tx(self.terms.profiles[row], tenant, key, mark, since, limit, write)
+        tx = Tx(self.terms.profiles[row], key, mark, since, limit, write)
         tx.twice = self.terms.may_copy and tx.read      # only idempotent reads are ever out twice
-        tx.excess = bool(self.tenancies) and self.tenancies[tenant].over(now)
+        if tx.read and key is not None:
+            tx.known = self.past.add(mark)
+            self.recent.add(mark)
         if not write and not self.late(4 * (now - since)):      # copies cost a node that is behind most
             self.copies_left = min(RACES, self.copies_left + COPY_SHARE * max(0, 1 - 2 * self.strain()))
         self.ready.append(tx)
@@ -374,12 +379,6 @@
         if not server.origin and server.state == 'ready':
             self.total_out += more
 
-    def worth_keeping(self):
-        """How long a connection may lie idle before opening it anew would have cost less. Guards against full
-        tables: a cache admits far fewer than hundreds of nodes hold when each keeps its own."""
-        price = self.terms.keep_price * self.terms.nodes
-        return self.terms.open_price * 100 * len(self.caches) * self.every / price if price else float('inf')
-
     def client_gone(self, now, tx):
         """Nothing more is owed."""
         self.finish(now, tx)
@@ -395,11 +394,16 @@
         hop.out = False
         tx.out -= 1
         self.count_out(server, -hop.weight)
-        if not server.out and server.every > self.worth_keeping():
-            self.idle.append(server)
-        hop.ran = how not in NEVER_RAN
-        if how in ('committed', 'missing', 'error'):
+        hop.ran, hop.failed = how not in NEVER_RAN, how == 'error'
+        if how in ('committed', 'missing') or how == 'error' and server.origin:
             self.answered(now, hop, lasted, how, note)
+        elif how == 'error':
+            # The quickest answers may come from the worst caches; a second error in a row sets one aside.
+            if server.doubt:
+                self.unanswered(now, server)
+            else:
+                server.doubt = 1
+                self.halve(now, server)
         elif how in ('spoilt', 'rejected'):
             server.doubt = 0        # it answers, whatever came of that on the way
         elif (how in ('unreachable', 'lost') or how == 'expired' and self.over(now, tx)
@@ -482,13 +486,14 @@
     def welcome(self, now, tx, server, drawn):
         """Whether one more read should go there, by a number drawn for it. Guards against many nodes with a
         hop or less each, whose sum jams a server: as the expected wait passes a third of the goal they send
-        less and less, down to a trickle at two thirds; what is beyond a tenant's share goes first. With one
-        hop of each node out, answers take as long as a node's hops lie apart: under that the bound does, save
-        in a jam behind the caches, as of their origin: that needs less than a hop a node."""
+        less and less, down to a trickle at two thirds; at the origin later, the more a late answer is worth.
+        With one hop of each node out, answers take as long as a node's hops lie apart: under that the bound
+        does, save in a jam behind the caches, as of their origin: that needs less than a hop a node."""
         if self.often and self.strain() < STRAIN and not server.origin:
             return True
-        part = 3 * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
-        return drawn < (1 - 2 * part if tx.excess else max(FLOOR, 2 - part))
+        worth = 3 - tx.profile.late_revenue if server.origin else 3
+        part = worth * self.expected(now, server) / (self.goal if server.origin else tx.profile.goal)
+        return drawn < max(FLOOR, 2 - part)
 
     def fade(self, now, since):
         """How much of what was seen then still counts. Guards against a lock-out: a node among hundreds may
@@ -581,10 +586,6 @@
             if decision:
                 return decision
             self.ready.popleft()
-        while self.idle:
-            server = self.idle.popleft()
-            if not server.out:
-                return 'close', server
         if self.alarms and (self.asked is None or self.alarms[0][0] < self.asked):
             self.asked = self.alarms[0][0]
             return 'wake', self.asked
@@ -599,8 +600,8 @@
         if tx.held:
             return self.give_up(now, tx) if now >= self.patience(tx) else None
         self.survey(now)
-        if not tx.hops and (self.late(now - tx.taken) or tx.excess and self.total_out > self.borne / 4):
-            return self.give_up(now, tx)    # the excess of tenants goes first
+        if not tx.hops and self.late(now - tx.taken):
+            return self.give_up(now, tx)
         if tx.out:
             return self.step_waiting(now, tx)
         if not tx.read:
@@ -646,7 +647,7 @@
 
     def step_read(self, now, tx, copy):
         """Send to the best-ranked cache not yet tried; a copy's absence is no reason to give up."""
-        if not (copy or tx.again or tx.missed or self.afford(tx)):
+        if not (copy or tx.again or self.afford(now, tx)):
             return self.give_up(now, tx)
         server = tx.again or self.pick(now, tx)
         tx.again = decision = None
@@ -669,10 +670,15 @@
                 self.ready.append(tx)
         return decision
 
-    def afford(self, tx):
+    def afford(self, now, tx):
         """Take a further hop, after one that may have run, out of the budget: guards against a retry storm
-        when many hops fail, as when the origin behind all caches does."""
-        if not tx.hops or not tx.hops[-1].ran:
+        when many hops fail, as when the origin behind all caches does. After an error it is free, without
+        strain. A read away from its home likely misses: it goes on only as far as the origin bears that."""
+        if not tx.hops or tx.missed:
+            return True
+        if tx.read and self.origin and not self.welcome(now, tx, self.origin, self.chance()):
+            return False
+        if not tx.hops[-1].ran or tx.hops[-1].failed and self.strain() < STRAIN:
             return True
         if self.copies_left < 1:
             return False
@@ -682,7 +688,7 @@
     def step_once(self, now, tx):
         """Writes and what must not run twice go once, and again only after proof that they did not run."""
         server = self.origin if self.terms.aside and tx.write else self.pick(now, tx)
-        decision = server and self.afford(tx) and self.send(now, tx, server, False)
+        decision = server and self.afford(now, tx) and self.send(now, tx, server, False)
         return decision or self.give_up(now, tx)
 
     def step_fetch(self, now, tx):
@@ -754,16 +760,40 @@
         return self.turns(now, server) < 1, (server.out + 1) / size
 
     def ranked(self, now, tx):
-        """Weighted rendezvous: size and age set how many keys a cache wins; others' keys do not move."""
+        """Weighted rendezvous: size, age, zone set how many keys a cache wins; others' keys do not move."""
         if tx.rank is None:
-            scored = []
+            scored, near = [], self.near(now, tx)
             for s in self.caches:
                 drawn = (mix(s.mark ^ tx.mark) + 1) / (MASK + 2)
-                scored.append((self.presence(now, s) * s.weight / -log(drawn), s.name, s))
+                size = self.presence(now, s) * s.weight * (NEAR if near and s.zone == self.terms.zone else 1)
+                scored.append((size / -log(drawn), s.name, s))
             scored.sort(reverse=True)
             tx.rank = [row[2] for row in scored]
+            if tx.read:
+                self.spread(tx, near)
         return tx.rank
 
+    def near(self, now, tx):
+        """Whether a key's home is in the node's own zone, where crossing costs more than work wasted. Guards
+        against misses that the origin cannot take, as each zone keeps a copy then, and against a zone with more
+        traffic than its caches bear: as the waits to expect pass a part of the goal, key by key goes to one
+        home for all zones, those not read lately first. No chance: a key that goes both ways misses twice."""
+        if self.terms.cross_price <= self.terms.waste_price:
+            return False
+        room = 2 - 6 * self.lag * self.fade(now, self.heard) / self.goal
+        if self.origin:
+            room = min(room, 2 - (4 if tx.known else 6) * self.expected(now, self.origin) / self.goal)
+        return mix(tx.mark) & 0xffff < room * 0x10000
+
+    def spread(self, tx, near):
+        """Guards against a key that asks for more than its home bears: with over half of a cache's fair part
+        of this node's latest reads it goes by chance to as many of its first caches as that takes."""
+        reach = sum(s.zone == self.terms.zone for s in self.caches) if near else len(self.caches)
+        wide = min(reach, int(2 * reach * self.recent.part(tx.mark)) + 1)
+        if wide > 1:
+            turn = int(self.chance() * wide)
+            tx.rank[:wide] = tx.rank[turn:wide] + tx.rank[:turn]
+
     def survey(self, now):
         """Figures over all caches, worked out anew now and then."""
         if self.surveyed is not None and now - self.surveyed < self.goal // 256:
@@ -774,7 +804,6 @@
             mean = self.served / weight * self.terms.fall_window / (now - self.window) if weight else 0
             # The best is kept: in a fast deploy no warm cache is left to measure by; all would starve.
             self.usual, self.served, self.window = max(self.usual, mean), 0, now
-        self.borne = sum(s.bear for s in self.caches)
 
     def presence(self, now, server):
         """How much a server counts by its age: what a cold one is sure to be able to do, and no more."""
@@ -822,7 +851,6 @@
         tx.out += 1
         self.count_out(server, hop.weight)
         server.credit -= 1
-        server.last, server.every = now, (server.every + now - server.last) / 2
         cut = tx.read and not server.origin and self.strain() >= STRAIN
         return 'send', hop, max(1, self.patience(tx) - now) if cut else None
 
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -315,7 +315,7 @@
         self.terms, self.table, self.budget = terms, Table(), budget
         self.slowest = max(profile.hard for profile in terms.profiles)
         self.profiles = {p.name.encode(): row for row, p in enumerate(terms.profiles)}
-        self.tenants = {t.name.encode(): row for row, t in enumerate(terms.tenants)}
+        self.tenants = {t.name.encode() for t in terms.tenants}
         self.phases = {phase: {} for phase in (*STAYS, ASKED)}      # the longest there first
         self.port, self.full, self.shut = None, False, False
         self.yielded = False            # another process of this node accepts
@@ -479,8 +479,7 @@
                 wait = min(hard, down(number(told.decode('latin-1'))))
         except BadLine:
             wait = -1
-        tenant = self.tenants.get(owner) if owner else 0
-        if wait < 0 or tenant is None or not message.field(b'req-id') or not message.field(b'host'):
+        if wait < 0 or owner and owner not in self.tenants or not message.field(b'req-id') or not message.field(b'host'):
             self.node.count('malformed')
             client.refuse(400, 'Host, Req-Id, Req-Deadline or Req-Owner out of form')
             return
@@ -490,7 +489,7 @@
             client.refuse(409, 'this Req-Id is open')
             return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
-        self.node.take(client, message, row, tenant, key, wait, client.came)
+        self.node.take(client, message, row, key, wait, client.came)
 
     def stay(self, client):
         """Whether the connection is kept after this answer: others may wait for its place."""
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -309,7 +309,7 @@
 
     # --- clients ----------------------------------------------------------------------------------------
 
-    def take(self, client, message, row, tenant, key, wait, since):
+    def take(self, client, message, row, key, wait, since):
         """A client's request has come whole, or the head of a large one: one answer is owed from here on."""
         errand = client.errand = Errand(client, message, wait)
         limit = None if message.source else since + wait
@@ -317,7 +317,7 @@
         self.ids.add(errand.name)
         self.count('taken')
         write = message.parts[0] == b'PUT'
-        errand.tx = self.router.take(self.clock(), row, tenant, key, limit, write, since)
+        errand.tx = self.router.take(self.clock(), row, key, limit, write, since)
         errand.tx.ref = errand
         if limit is not None:
             self.deadlines.at(limit, self.limit_due, errand.number)
@@ -452,7 +452,8 @@
             server = self.servers[entry.name] = Server(entry.name, entry.kind == self.place.origin_kind)
         self.caches.listed(server, entry.address)
         self.entries[entry.name] = entry
-        return (server, entry.state, entry.weight, started(entry, self.offset), entry.zone, entry.cell)
+        zone = self.place.zones.get(entry.zone, entry.zone)     # one that the settings do not name is no other's
+        return (server, entry.state, entry.weight, started(entry, self.offset), zone, entry.cell)
 
     def list_lost(self):
         """The watch has ended."""
@@ -528,11 +529,6 @@
         """Ask for the list's changes."""
         self.discovery.open()
 
-    def do_close(self, server):
-        """Idle connections are not kept."""
-        if server in self.caches.pools:         # else it went meanwhile, and its connections with it
-            self.caches.pools[server].close_idle()
-
     def do_wake(self, when):
         """Let the module look again."""
         self.deadlines.at(when, self.wake_due, 0)
--- a/lilacdyke/terms.py
+++ b/lilacdyke/terms.py
@@ -36,12 +36,12 @@
 class SiteTerms:
     """The terms a site gives its nodes: who asks, what is allowed, what must be kept.
 
-    open_price is due for one new connection a transaction, keep_price for a mean of 100 open ones a cache.
+    cross_price is due for one hop a transaction that crosses zones, waste_price for as much work wasted as asked for.
     """
 
     __slots__ = ('profiles', 'tenants', 'nodes', 'zone', 'aside', 'watched', 'may_copy', 'may_cancel',
                  'max_hops', 'max_return', 'ask_within', 'fall_multiple', 'fall_window',
-                 'cold_from', 'warm_up', 'tick', 'open_price', 'keep_price')
+                 'cold_from', 'warm_up', 'tick', 'cross_price', 'waste_price')
 
     def __init__(self, **given):
         for name in self.__slots__:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -39,7 +39,43 @@
                 place(text)
 
 
+class Shape(unittest.TestCase):
+    """One build, two shapes: a pool of nodes over several zones, or a node for each client process."""
+
+    def told(self, **other):
+        given = {name: dict(SETTINGS[name]) for name in ('limits', 'fees', 'stats')}
+        for name, value in other.items():
+            table, _, key = name.partition('_')
+            if key:
+                given[table][key] = value
+            else:
+                given[name] = value
+        return changed(**given)
+
+    def test_either_shape_is_in_order(self):
+        pool = self.told(balancers=3, dcs=['a', 'b', 'c'], fees_crossZone=0.014, fees_probe=0.01)
+        office = self.told(balancers=400, rank=399, dcs=['room'], fees_crossZone=0, fees_peer=0.0096, limits_peers=True,
+                           membershipMode='on_request', stats_how='inline', stats_fields=['inflight', 'eps'])
+        files = self.told(balancers=380, dcs=['a', 'b', 'c', 'd'], zone=3, fees_crossZone=0.06, limits_probing=False)
+        for text, zones in ((pool, 3), (office, 1), (files, 4)):
+            self.assertEqual(len(place(text).zones), zones)
+
+    def test_a_mix_is_refused_with_the_key_named(self):
+        cases = {'fees.crossZone': dict(dcs=['room'], fees_crossZone=0.06), 'zone': dict(zone=2), 'rank': dict(rank=2),
+                 'fees.probe': dict(limits_probing=False, fees_probe=0.01), 'fees.peer': dict(fees_peer=0.01),
+                 'stats.how': dict(limits_probing=False, stats_how='on_probe'),
+                 'stats.fields': dict(stats_fields=['eps']), 'dcs': dict(dcs=['a', 'a']), 'fees.waste': dict(fees_waste='x')}
+        for key, mix in cases.items():
+            with self.subTest(key=key), self.assertRaisesRegex(BadLine, '(shapes|form): %s: ' % key):
+                place(self.told(**mix))
+
+
 class Commands(unittest.TestCase):
+    def test_a_mix_ends_the_start_with_one_line(self):
+        for word in ('check', 'serve'):
+            code, lines = self.run_with(changed(zone=7), word)
+            self.assertEqual((code, len(lines), 'shapes: zone: ' in lines[0]), (2, 1, True))
+
     def run_with(self, text, *words):
         """Run a sub-command on a page with this text: (exit code, lines printed)."""
         with tempfile.TemporaryDirectory() as folder:
