--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -92,14 +92,14 @@
 class Lookups:
     """How often each key was among the latest reads."""
 
-    __slots__ = ('marks', 'counts', 'most')
+    __slots__ = ('marks', 'counts')
 
     def __init__(self, most):
-        self.marks, self.counts, self.most = deque(), {}, most
+        self.marks, self.counts = deque(maxlen=most), {}
 
     def add(self, mark):
         """Count one more; whether it was there already."""
-        if len(self.marks) == self.most:
+        if len(self.marks) == self.marks.maxlen:
             old = self.marks.popleft()
             self.counts[old] -= 1
             if not self.counts[old]:
@@ -246,9 +246,8 @@
     def list_replaced(self, now, entries):
         """The whole list: what it lacks is gone."""
         named = {entry[0].name for entry in entries}
-        for server in self.known.values():
-            if server.name not in named:
-                server.state = 'gone'
+        for server in (s for s in self.known.values() if s.name not in named):
+            server.state = 'gone'
         self.list_changed(now, entries)
 
     def list_remembered(self, now, entries):
@@ -399,11 +398,8 @@
             self.answered(now, hop, lasted, how, note)
         elif how == 'error':
             # The quickest answers may come from the worst caches; a second error in a row sets one aside.
-            if server.doubt:
-                self.unanswered(now, server)
-            else:
-                server.doubt = 1
-                self.halve(now, server)
+            (self.unanswered if server.doubt else self.halve)(now, server)
+            server.doubt = max(1, server.doubt)
         elif how in ('spoilt', 'rejected'):
             server.doubt = 0        # it answers, whatever came of that on the way
         elif (how in ('unreachable', 'lost') or how == 'expired' and self.over(now, tx)
@@ -673,16 +669,18 @@
     def afford(self, now, tx):
         """Take a further hop, after one that may have run, out of the budget: guards against a retry storm
         when many hops fail, as when the origin behind all caches does. After an error it is free, without
-        strain. A read away from its home likely misses: it goes on only as far as the origin bears that."""
+        strain; from a full cache the fewer go on the more strain there is. A read away from its home likely
+        misses: it goes on only as far as the origin bears that."""
         if not tx.hops or tx.missed:
             return True
         if tx.read and self.origin and not self.welcome(now, tx, self.origin, self.chance()):
             return False
-        if not tx.hops[-1].ran or tx.hops[-1].failed and self.strain() < STRAIN:
-            return True
-        if self.copies_left < 1:
+        if not tx.hops[-1].ran:
+            return self.chance() >= 2 * (self.strain() - STRAIN)
+        price = 0 if tx.hops[-1].failed and self.strain() < STRAIN else 1
+        if self.copies_left < price:
             return False
-        self.copies_left -= 1
+        self.copies_left -= price
         return True
 
     def step_once(self, now, tx):
@@ -775,9 +773,9 @@
 
     def near(self, now, tx):
         """Whether a key's home is in the node's own zone, where crossing costs more than work wasted. Guards
-        against misses that the origin cannot take, as each zone keeps a copy then, and against a zone with more
-        traffic than its caches bear: as the waits to expect pass a part of the goal, key by key goes to one
-        home for all zones, those not read lately first. No chance: a key that goes both ways misses twice."""
+        against misses that the origin cannot take, as each zone keeps a copy, and a zone with more traffic
+        than it bears: as the waits to expect grow, key by key goes to one home for all zones, those not read
+        lately first. No chance: a key that goes both ways misses twice."""
         if self.terms.cross_price <= self.terms.waste_price:
             return False
         room = 2 - 6 * self.lag * self.fade(now, self.heard) / self.goal
@@ -787,9 +785,10 @@
 
     def spread(self, tx, near):
         """Guards against a key that asks for more than its home bears: with over half of a cache's fair part
-        of this node's latest reads it goes by chance to as many of its first caches as that takes."""
+        of this node's reads it goes by chance to as many first caches as that takes."""
         reach = sum(s.zone == self.terms.zone for s in self.caches) if near else len(self.caches)
-        wide = min(reach, int(2 * reach * self.recent.part(tx.mark)) + 1)
+        part = max(self.recent.part(tx.mark), self.past.part(tx.mark))
+        wide = min(reach, int(2 * reach * part) + 1)
         if wide > 1:
             turn = int(self.chance() * wide)
             tx.rank[:wide] = tx.rank[turn:wide] + tx.rank[:turn]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -56,6 +56,14 @@
         homes = {made.ranked(0, tx)[0].name for tx in (taken(made, key='hot') for _ in range(40))}
         self.assertEqual((len(homes) > 3, txs[0].known, txs[1].known, usual[0].known), (True, False, True, False))
 
+    def test_a_key_with_a_few_parts_of_many_caches_is_told_by_a_longer_past(self):
+        """Incident ib45222: with 191 caches a key with 2% of the reads is four times a cache's fair part."""
+        made = router(191)
+        for number in range(200):
+            taken(made, key='hot' if number % 50 == 0 else 'k%d' % number)
+        homes = {made.ranked(0, taken(made, key='hot'))[0].name for _ in range(20)}
+        self.assertGreater(len(homes), 3)
+
     def test_what_lookups_keep_is_bounded(self):
         lookups = Lookups(4)
         for mark in (1, 1, 1, 2, 3, 4, 5):
@@ -372,6 +380,14 @@
             ended(made, tx, made.caches[0], 'refused', ran=False)
             self.assertEqual(made.step_read(0, tx, False)[0], want)
 
+    def test_under_strain_fewer_reads_move_on_from_a_full_cache(self):
+        made, answers = router(3), []
+        for made.smooth, made.poor in ((8, 2), (4, 6)):
+            made.chance, tx = lambda: 0.5, taken(made)
+            ended(made, tx, made.caches[0], 'refused', ran=False)
+            answers.append(made.afford(0, tx))
+        self.assertEqual(answers, [True, False])
+
     def test_fetches_are_turned_away_later_where_late_answers_earn(self):
         made = router(3, True)
         made.origin.lag, tx, answers = made.goal * 4 // 10, taken(made), []
