--- a/lilacdyke/benchlink/serve.py
+++ b/lilacdyke/benchlink/serve.py
@@ -14,7 +14,7 @@
 class Instance:
     """One node's router, with the ids that the wire uses for what the router holds as objects."""
 
-    __slots__ = ('number', 'router', 'origin_kind', 'servers', 'txs')
+    __slots__ = ('number', 'router', 'origin_kind', 'servers', 'txs', 'unread')
 
     def __init__(self, number_, seed, text):
         terms, rank, self.origin_kind = decode.decode(text)
@@ -22,6 +22,7 @@
         self.router = Router(terms, seed, rank)
         self.servers = {}
         self.txs = {}
+        self.unread = 0         # reports and peers' messages that were out of form
 
     def server(self, name):
         """The server of this name; one that no list has named cannot be meant."""
@@ -30,6 +31,16 @@
             raise BadLine('a server never named: %r' % name)
         return found
 
+    def glance(self, read, text):
+        """Check what nothing here depends on. Guards against a report or a message that is out of form taking the
+        transaction with it: it is counted, and the first is logged."""
+        try:
+            optional(read, text)
+        except BadLine as err:
+            self.unread += 1
+            if self.unread == 1:
+                self.router.logs.append('not read, counted from here on: %.100s' % err)
+
     def drop(self, job, tx):
         """Let go of a transaction that has ended with every hop."""
         if tx.done and not tx.out:
@@ -77,7 +88,7 @@
             raise BadLine('unknown outcome: %r' % how)
         lasted, complete = down(number(lasted)), truth(complete)
         remark = optional(whole, remark) or 0
-        optional(report, feedback)
+        self.glance(report, feedback)
         server = self.server(server)
         tx = self.txs.get(job)
         if tx is None:
@@ -113,7 +124,7 @@
         if how not in ENDINGS:
             raise BadLine('unknown outcome: %r' % how)
         number(lasted)
-        optional(report, feedback)
+        self.glance(report, feedback)
         self.server(server)
 
     def on_reminder(self, now, parts):
@@ -124,7 +135,7 @@
         """A message from a peer: the router sends none, the line is only checked."""
         author, body = parts
         whole(author)
-        optional(hexbytes, body)
+        self.glance(hexbytes, body)
 
     def decisions(self, now, write):
         """Pull the router's decisions and write each as the wire has it."""
--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -787,8 +787,8 @@
         """Guards against a key that asks for more than its home bears: with over half of a cache's fair part
         of this node's reads it goes by chance to as many first caches as that takes."""
         reach = sum(s.zone == self.terms.zone for s in self.caches) if near else len(self.caches)
-        part = max(self.recent.part(tx.mark), self.past.part(tx.mark))
-        wide = min(reach, int(2 * reach * part) + 1)
+        part = max(2 * self.recent.part(tx.mark), self.past.part(tx.mark))
+        wide = min(reach, int(reach * part) + 1)
         if wide > 1:
             turn = int(self.chance() * wide)
             tx.rank[:wide] = tx.rank[turn:wide] + tx.rank[:turn]
--- a/lilacdyke/values.py
+++ b/lilacdyke/values.py
@@ -70,6 +70,8 @@
         if not colon or not name:
             raise BadLine('not a load report: %r' % text)
         pairs[name] = number(value)
+        if pairs[name] < 0:
+            raise BadLine('a load below nothing: %r' % text)
     return pairs
 
 
