A request whose client has left is not sent on, wherever it waited

Seen on loopback before the change: with the node standing still, a request and its client's end lie unread together on a kept connection, and the server had ['a', 'b', 'gone', 'stays']; a hop that waits for a late connection where nothing may be cancelled left for nobody ('gone' != 'next'); so did a large body whose client left behind bytes that nobody read. Cause: Client.dataReceived takes and sends before the end is read; Pool.waiting is cut by the module's cancel alone, which no_cancel sites do not have; a paused connection shows no end. Ruled out: the door (it looks at accept) and copies after a standstill (Deadlines has sockets first).

Now the one place where a hop's first byte leaves asks whether it is wanted still: Pool.send and Pool.offer ask the node, which looks at the system's state of the client's connection. A client that only ended its sending cannot be told from one that closed, and counts as gone, as before.

--- a/lilacdyke/lab/judges.py
+++ b/lilacdyke/lab/judges.py
@@ -10,6 +10,7 @@
 from . import held
 
 COLD_SLACK, COLD_SPARE = 1.15, 2        # chance: over the budget by so much, and by so many transactions
+FORSAKEN = 300_000                      # after its client has left, nothing of a request is sent on so much later
 NETWORK = frozenset(('cut', 'site_cut', 'delay', 'resets', 'dribble', 'deaf', 'vanish'))
 CROWDED = frozenset(('descriptors',))
 STILL = frozenset(('standstill',))
@@ -175,6 +176,15 @@
     return found
 
 
+def forsaken(case):
+    """Nothing is sent on for a client that has left, however it waited: servers see each hop's first byte, clients know when they
+    left."""
+    left = {row[2]: row[1] for row in case.by['left']}
+    return [Broken('forsaken', row[7], '%s sent %s to %s %d ms after its client had left' % (
+        row[6], row[4], row[3], (row[7] - left[row[4]]) // 1_000)) for row in case.by['hop']
+        if row[7] > left.get(row[4], row[7]) + FORSAKEN + case.travel and not case.troubled(NETWORK, left[row[4]], row[7])]
+
+
 def cancelled(case):
     """Work for a client that has its answer ends, where the site allows it: nobody waits for the losers."""
     scenario, found = case.scenario, []
@@ -594,7 +604,7 @@
     return [Broken(*found) for found in held.judged(case)]
 
 
-RULES = {'answered': answered, 'once': once, 'cancelled': cancelled, 'drains': drains, 'hands': hands, 'pushed': pushes, 'rude': rude, 'accounts': accounts,
+RULES = {'answered': answered, 'once': once, 'forsaken': forsaken, 'cancelled': cancelled, 'drains': drains, 'hands': hands, 'pushed': pushes, 'rude': rude, 'accounts': accounts,
          'limits': limited, 'verdicts': verdicts}
 
 
--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -71,6 +71,10 @@
     return called
 
 
+def leavers_served(put, chance):
+    put(Client, 'left', lambda self: False)
+
+
 def window_ignored(put, chance):
     put(Router, 'permitted', under(Router.permitted, lambda self, tx: tx.profile, 'window', 1 << 40))
 
@@ -543,6 +547,13 @@
         Event(at_s=1.0, kind='hung', what=[0, 1], for_s=3.0), Event(at_s=1.8, kind='crash', what=[0, 1], for_s=1.0)])
 
 
+def walking_out(made):
+    """Nodes that stand still while clients ask and leave, with so much time that nothing is late."""
+    rows = [replace(p, goal_s=4.0, limit_s=6.0) for p in made.profiles]
+    return replace(made, length_s=8.0, profiles=rows, load=replace(made.load, rate=60.0), clients=replace(made.clients, leave=0.5),
+                   events=[Event(at_s=at, kind='standstill', count=made.nodes, for_s=1.4) for at in (1.0, 4.0)])
+
+
 def apart(made):
     """Groups by site, and answers that are lost."""
     rows = [replace(p, window_s=2.5, group='zone') if p.effect == 'guarded' else p for p in made.profiles]
@@ -628,6 +639,7 @@
     ('group_ignored', 'repeats a journalled transaction outside of its group', group_ignored, (), apart),
     ('lost_is_never_ran', 'takes a lost hop for one that never ran', lost_is_never_ran, ('resets', 'halved')),
     ('left_forgotten', 'claims "never ran" after the last byte', left_forgotten, ('resets', 'halved')),
+    ('leavers_served', 'sends on for clients that have left unread', leavers_served, (), walking_out),
     ('answer_dropped', 'drops an answer', answer_dropped, ('slow',)),
     ('answer_doubled', 'answers twice', answer_doubled, ('slow',)),
     ('answers_mixed', 'mixes answers of two requests', answers_mixed, ('slow',)),
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -37,10 +37,11 @@
 class Trip:
     """One hop under way: the client's request, until when it is waited for, and where it is."""
 
-    __slots__ = ('pool', 'message', 'until', 'link', 'done')
+    __slots__ = ('pool', 'message', 'until', 'wanted', 'by', 'link', 'done')
 
-    def __init__(self, pool, message, until):
+    def __init__(self, pool, message, until, wanted, by):
         self.pool, self.message, self.until = pool, message, until
+        self.wanted, self.by = wanted, by       # whether it may still leave; when it has to have left, None: at any time
         self.link = None                # the connection, once there is one
         self.done = Deferred()          # fires once, with (ending, answer or None)
 
@@ -55,9 +56,9 @@
         self.over(how)
 
     @property
-    def flowing(self):
-        """Whether its body is large and has not gone whole."""
-        return self.message.source is not None and not (self.link and self.link.left)
+    def whole(self):
+        """Whether its last byte has left."""
+        return bool(self.link) and self.link.left
 
     def over(self, how, answer=None):
         """The one ending."""
@@ -267,6 +268,9 @@
     def send(self, trip):
         """Carry a hop on an idle connection, or open one for it."""
         now = self.caches.clock()
+        if not trip.wanted():
+            trip.over('unsent')
+            return
         for link in self.resting[::-1]:
             if link.settled <= now and self.wake(link):
                 link.carry(trip)
@@ -315,14 +319,25 @@
             # Guards against pushing over a fresh process, cold, of which the list tells only seconds later.
             self.refused = False
             self.caches.returned(self.server)
+        self.offer(link)
+
+    def offer(self, link):
+        """A connection for the hop that has waited longest and may still leave; else it rests. Guards against what happened
+        while hops waited: the server began to drain, the client left, a repeat's time is up."""
         while self.waiting:
             trip = self.waiting.popleft()
-            if self.server.state == 'ready':
+            late = trip.by is not None and self.caches.clock() > trip.by
+            if self.server.state == 'ready' and not late and trip.wanted():
                 link.carry(trip)
                 return
-            trip.over('unsent')         # it began to drain while the connection came up
+            trip.over('unsent')
         self.rest(link)
 
+    def without(self, how):
+        """A connection that was to come will not: unless others come, the hop that has waited longest has none to wait for."""
+        if len(self.waiting) > self.dials:
+            self.waiting.popleft().over(how)
+
     def failed(self, failure, number, link):
         """No connection: a hop has none to wait for, unless it was served meanwhile."""
         self.dials -= 1
@@ -330,9 +345,7 @@
         self.forget(link)
         error = getattr(failure.value, 'osError', None)
         self.refused = self.refused or error == ECONNREFUSED
-        if len(self.waiting) > self.dials:
-            none_left = error in (EMFILE, ENFILE)
-            self.waiting.popleft().over('unsent' if none_left else 'unreachable')
+        self.without('unsent' if error in (EMFILE, ENFILE) else 'unreachable')
 
     def rest(self, link):
         """A connection is free. Guards against servers that close one right after an answer, or send more than the
@@ -349,7 +362,7 @@
     def serve_waiting(self, link):
         """A connection that came free may carry the hop that has waited longest for one."""
         if self.waiting and self.wake(link):
-            link.carry(self.waiting.popleft())
+            self.offer(link)
 
     def wake(self, link):
         """Take a connection out of those that are idle; whether it is of use still."""
@@ -415,9 +428,10 @@
             if pool.server.state != 'ready':
                 pool.close_idle()
 
-    def send(self, server, message, until):
-        """Start a hop; its Trip."""
-        trip = Trip(self.pools[server], message, until)
+    def send(self, server, message, until, wanted, repeat):
+        """Start a hop; its Trip. wanted() tells whether it may still leave; a repeat leaves within the time that a connection
+        may take to come up, which the rule on repeats sets aside for it."""
+        trip = Trip(self.pools[server], message, until, wanted, self.clock() + self.within if repeat else None)
         trip.pool.send(trip)
         return trip
 
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -12,7 +12,7 @@
 from .flow import Flow
 from .http import MAX_BODY, BadMessage, Reader
 from .logs import LOG
-from .sockets import guard, push, quiet, unread_for, waiting
+from .sockets import guard, left, push, quiet, unread_for, waiting
 from .tables import Table
 from ..values import SECOND, BadLine, down, number
 
@@ -124,6 +124,15 @@
         if errand:
             self.front.node.client_gone(errand)
 
+    def left(self):
+        """Whether it has gone, though nobody has read that yet."""
+        return self.phase is None or left(self.transport)
+
+    def see_off(self):
+        """It was found to have gone: its request is not sent on."""
+        self.give_up_upload()
+        self.transport.abortConnection()
+
     def moved(self):
         """Bytes may go on again: it was not the client, or is not any more, that was slow."""
         now = self.front.clock()
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -363,10 +363,15 @@
         self.count('gone')
         self.router.client_gone(self.clock(), errand.tx)
         for passage in errand.passages[:]:
-            if passage.trip and passage.trip.flowing:
-                passage.trip.cut('unsent')      # the rest of its body will not come, so it never ran
+            if passage.trip and not passage.trip.whole and (passage.trip.message.source or not self.place.terms.may_cancel):
+                passage.trip.cut('unsent')      # the rest of its body will not come, or need not leave: it never ran
         self.settle()
 
+    def wanted(self, errand):
+        """Whether a hop of it may still leave. Guards against work for a client that has gone: its end may lie unread, and where
+        nothing may be cancelled a hop that waits for a connection would leave for nobody."""
+        return self.errands.get(errand.number) is errand and not errand.client.left()
+
     def forget(self, errand):
         """The client has its answer, or needs none; hops may still end, with nothing to hold on to. The client."""
         self.errands.remove(errand.number)
@@ -428,6 +433,9 @@
         errand.passages.remove(passage)
         now = self.clock()
         open_ = self.errands.get(errand.number) is errand
+        if open_ and how == 'unsent' and errand.client.left():
+            errand.client.see_off()
+            open_ = False
         final = how in ('committed', 'rejected')        # rejected: it is the request that is bad, not the server
         if final and open_:
             minor = errand.message.parts[2]
@@ -538,7 +546,7 @@
         errand.passages.append(passage)
         if self.fleet:
             self.router.shares.sent(now, hop.server, self.router.presence(now, hop.server) < 1)
-        passage.trip = self.caches.send(hop.server, errand.message, until)
+        passage.trip = self.caches.send(hop.server, errand.message, until, lambda: self.wanted(errand), hop.index > 0)
         passage.trip.done.addCallback(self.arrived, passage.number).addErrback(self.fault)
         if hop.tx.limit is not None and (until < limit or not self.place.terms.may_cancel):    # else it ends with its errand
             self.deadlines.at(until, self.patience_due, passage.number)
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -168,6 +168,12 @@
     port.socket = Door(port.socket, late, answer, crowded)
 
 
+def left(transport):
+    """Whether the other side has closed, or reset, a connection, though that may lie unread: behind bytes, or while nobody reads.
+    One that only ended its sending looks the same and is taken for gone."""
+    return tcp_info(transport.getHandle())[0] in CLOSED
+
+
 def waiting(transport):
     """Whether the transport still holds bytes that the system has not taken."""
     return len(transport.dataBuffer) > transport.offset or bool(transport._tempDataBuffer)
--- /dev/null
+++ b/tests/crossings.py
@@ -0,0 +1,288 @@
+"""What the tests of crossings stand on: the very program as a process, and servers, agents and clients that do nothing by
+themselves. Each is a blocking socket that holds, answers, resets or ends when the test says so; what is waited for is what the
+other side did, never a while.
+"""
+
+import json
+import os
+import queue
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+from copy import deepcopy
+
+from .helpers import SETTINGS, entry, page
+from .test_upgrade import free
+
+PATIENCE = 20                           # seconds after which an event that was to come counts as not come
+HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+class Line:
+    """One connection, from the test's side."""
+
+    def __init__(self, socket_):
+        self.socket, self.buffer, self.seen = socket_, b'', []
+        socket_.settimeout(PATIENCE)
+
+    def say(self, data):
+        self.socket.sendall(data)
+
+    def head(self):
+        """The next head that comes, without its empty line; b'' once the connection has ended."""
+        while b'\r\n\r\n' not in self.buffer:
+            more = self.more()
+            if not more:
+                return b''
+        head, _, self.buffer = self.buffer.partition(b'\r\n\r\n')
+        return head
+
+    def more(self):
+        """The next bytes, which are kept; b'' at the end, however it came."""
+        try:
+            data = self.socket.recv(65_536)
+        except ConnectionError:
+            data = b''
+        self.buffer += data
+        return data
+
+    def request(self):
+        """The id of the next request, its body read as well; None if the connection ends first."""
+        head = self.head()
+        if not head:
+            return None
+        name = field(head, b'req-id')
+        self.seen.append(name)
+        length = int(field(head, b'content-length') or 0)
+        while len(self.buffer) < length and self.more():
+            pass
+        self.buffer = self.buffer[length:]
+        return name
+
+    def answer(self, status=200, body=b'abc', more=b''):
+        self.say(b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s' % (status, len(body), more, body))
+
+    def answered(self):
+        """The next answer: (status, body); (None, b'') if the connection ends first."""
+        head = self.head()
+        if not head:
+            return None, b''
+        length = int(field(head, b'content-length') or 0)
+        while len(self.buffer) < length and self.more():
+            pass
+        body, self.buffer = self.buffer[:length], self.buffer[length:]
+        return int(head[9:12]), body
+
+    def ended(self):
+        """Wait for its end."""
+        while self.more():
+            pass
+        return True
+
+    def close(self):
+        self.socket.close()
+
+    def reset(self):
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        self.socket.close()
+
+
+def field(head, name):
+    """A header field's value as text, or None."""
+    for line in head.split(b'\r\n')[1:]:
+        if line.lower().startswith(name + b':'):
+            return line.partition(b':')[2].strip().decode()
+    return None
+
+
+class Stand:
+    """A listening socket that takes nobody by itself. held: connections to it do not come up until it lets them."""
+
+    def __init__(self, held=False):
+        self.socket, self.lines, self.filler = socket.socket(), [], None
+        self.socket.bind(('127.0.0.1', 0))
+        self.socket.listen(0 if held else 64)
+        self.socket.settimeout(PATIENCE)
+        self.port = self.socket.getsockname()[1]
+        self.address = '127.0.0.1:%d' % self.port
+        if held:                        # the queue holds one; the system answers nobody else meanwhile
+            self.filler = socket.create_connection(('127.0.0.1', self.port))
+
+    def let(self):
+        """Connections come up from now on: those that were not answered ask again within a second."""
+        self.socket.accept()[0].close()
+        self.filler.close()
+        self.socket.listen(64)
+
+    def take(self):
+        """The next connection."""
+        self.lines.append(Line(self.socket.accept()[0]))
+        return self.lines[-1]
+
+    def watch(self):
+        """The next connection as a watch, with its request read and answered: (it, the request's first line)."""
+        line = self.take()
+        first = line.head().split(b'\r\n')[0]
+        line.say(HEAD)
+        return line, first
+
+    def all_seen(self):
+        """Ids of all requests of which anything ever came, once the node is gone."""
+        self.socket.settimeout(0)
+        try:
+            while True:
+                self.lines.append(Line(self.socket.accept()[0]))
+        except BlockingIOError:
+            pass
+        for line in self.lines:
+            try:
+                while line.request() is not None:
+                    pass
+            except OSError:
+                pass                    # the test closed it
+        return [name for line in self.lines for name in line.seen]
+
+
+def chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def told(generation, *rows, reset=True, indent=None):
+    """A list as an agent words it."""
+    return json.dumps({'generation': generation, 'reset': reset, 'instances': rows}, indent=indent).encode() + b'\n'
+
+
+def settings(**limits):
+    """Settings under which a second's standstill makes nothing late; limits put otherwise."""
+    made = deepcopy(SETTINGS)
+    for profile in made['profiles']:
+        profile.update(serviceGoalS=4.0, hardLimitS=6.0)
+    made['limits'].update(limits)
+    return made
+
+
+class Crossing(unittest.TestCase):
+    """One node as a process, with servers c0, c1 (where there are two) and the origin, and an agent."""
+
+    names, held, limits, watches = ('c0', 'o'), (), {}, True
+    settings = staticmethod(settings)
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.agent, self.port = Stand(), free()
+        self.servers = {name: Stand(name in self.held) for name in self.names}
+        self.path = os.path.join(self.folder.name, 'page.json')
+        self.running, self.events, self.clients = None, queue.Queue(), []
+        self.addCleanup(self.end)
+        self.prepare()
+        self.begin()
+        if self.watches:
+            self.watch, _ = self.agent.watch()
+            self.watch.say(chunk(told(5, *self.rows())))
+            self.until('serving')
+
+    def prepare(self):
+        self.write(self.agent)
+
+    def end(self):
+        if self.running.poll() is None:
+            os.kill(self.running.pid, signal.SIGCONT)
+            self.running.kill()
+        self.running.wait()
+        self.running.stderr.close()
+        for stand in (self.agent, *self.servers.values()):
+            stand.socket.close()
+            if stand.filler:
+                stand.filler.close()
+            for line in stand.lines:
+                line.close()
+        for line in self.clients:
+            line.close()
+
+    def row(self, name, **other):
+        """One server as the agent lists it."""
+        return entry(name, 'origin' if name == 'o' else 'std', **{'hostPort': self.servers[name].address, **other})
+
+    def rows(self):
+        return [self.row(name) for name in self.names]
+
+    def page(self, agent):
+        return page(listen='127.0.0.1:%d' % self.port, discovery=agent.address, settings=self.settings(**self.limits),
+                    known={'generation': 4, 'reset': True, 'instances': self.rows()})
+
+    def write(self, agent):
+        with open(self.path, 'w', encoding='utf-8') as file:
+            file.write(self.page(agent))
+
+    def begin(self):
+        self.running = subprocess.Popen([sys.executable, '-m', 'lilacdyke', 'serve', '--config', self.path],
+                                        stderr=subprocess.PIPE, text=True)
+        threading.Thread(target=self.listen, args=(self.running.stderr,), daemon=True).start()
+
+    def listen(self, pipe):
+        try:
+            for line in pipe:
+                self.events.put(line)
+        except ValueError:
+            pass                        # closed at the test's end
+
+    def until(self, event):
+        """Wait until the node logs it."""
+        while 'event="%s"' % event not in (line := self.events.get(timeout=PATIENCE)) and 'event=%s' % event not in line:
+            pass
+        return line
+
+    # --- what happens to the process ----------------------------------------------------------------------
+
+    def stop(self):
+        """It stands still from here on."""
+        os.kill(self.running.pid, signal.SIGSTOP)
+        os.waitpid(self.running.pid, os.WUNTRACED)
+
+    def go_on(self):
+        os.kill(self.running.pid, signal.SIGCONT)
+
+    def signal(self, signum):
+        os.kill(self.running.pid, signum)
+
+    # --- clients ------------------------------------------------------------------------------------------
+
+    def client(self):
+        self.clients.append(Line(socket.create_connection(('127.0.0.1', self.port), PATIENCE)))
+        return self.clients[-1]
+
+    @staticmethod
+    def ask(line, name, method='GET', path='/read/k', body=b'', more=''):
+        line.say(('%s %s HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\n%s%s\r\n' % (
+            method, path, name, 'Content-Length: %d\r\n' % len(body) if body else '', more)).encode() + body)
+
+    def served(self, line, name, server='c0'):
+        """A request from its start to its end: on which connection the server had it."""
+        self.ask(line, name)
+        hop = self.servers[server].take()
+        self.assertEqual(hop.request(), name)
+        hop.answer(body=name.encode())
+        self.assertEqual(line.answered(), (200, name.encode()))
+        return hop
+
+    def seen_so_far(self):
+        """The node has dealt with all that clients did before this."""
+        line = self.client()
+        for _ in range(3):
+            line.say(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+            self.assertIn(line.answered()[0], (200, 503))
+        line.close()
+
+    def finish(self):
+        """Have it end: all that servers ever had of it."""
+        for line in self.clients:
+            line.close()
+        self.signal(signal.SIGTERM)
+        self.assertEqual(self.running.wait(PATIENCE), 0)
+        return sorted(name for server in self.servers.values() for name in server.all_seen())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -362,7 +362,7 @@
         made.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(ConnectionRefusedError(ECONNREFUSED)))
         made.reactor.advance(1)
         before = server.started
-        made.caches.send(server, asked(made).protocol.errand.message, made.clock() + 100)
+        made.caches.send(server, asked(made).protocol.errand.message, made.clock() + 100, lambda: True, False)
         dialled(made)
         self.assertEqual((before, server.started), (None, made.clock()))
 
