A connection that came up at a server's old address carries nothing

Seen on loopback before the change: a dial under way as the list moved the server came up and carried the request there (['moved'] != []), and would have rested as a connection to the server from then on. Cause: Caches.listed closes idle connections of a server that moved, but Pool.dialled and Pool.rest did not look at where a connection had gone. Now a connection knows its address; the hop that waited ends as one that was surely not sent.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -70,7 +70,7 @@
     """One connection to a cache server; it carries one hop at a time."""
 
     def __init__(self, pool):
-        self.pool, self.reader = pool, Reader(ANSWER)
+        self.pool, self.reader, self.address = pool, Reader(ANSWER), pool.address
         self.sink = None                # the client that a large answer goes to as it comes
         self.flow = None                # a large request on its way
         self.trip, self.unsent = None, b''      # unsent: what of the hop has not gone to the system
@@ -319,7 +319,11 @@
             # Guards against pushing over a fresh process, cold, of which the list tells only seconds later.
             self.refused = False
             self.caches.returned(self.server)
-        self.offer(link)
+        if link.address != self.address:
+            link.close()                # the server moved while it came up: this is not the way there any more
+            self.without('unsent')
+        else:
+            self.offer(link)
 
     def offer(self, link):
         """A connection for the hop that has waited longest and may still leave; else it rests. Guards against what happened
@@ -350,7 +354,7 @@
     def rest(self, link):
         """A connection is free. Guards against servers that close one right after an answer, or send more than the
         answer: that shows within a moment, and a hop sent meanwhile would be lost to it."""
-        if self.server.state != 'ready':
+        if self.server.state != 'ready' or link.address != self.address:
             link.close()
             return
         link.settled = self.caches.clock() + SETTLED
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -109,6 +109,21 @@
         self.assertEqual(line.request() or self.servers['c0'].take().request(), 'next')
         self.assertEqual(self.finish(), ['next'])
 
+    def test_the_server_moves(self):
+        self.ask(self.client(), 'moved')
+        self.seen_so_far()
+        self.servers['new'] = Stand()
+        self.watch.say(chunk(told(6, entry('c0', hostPort=self.servers['new'].address), reset=False)))
+        self.until('list')
+        self.servers['c0'].let()
+        self.assertTrue(self.servers['c0'].take().ended())
+        self.ask(self.client(), 'next')
+        line = self.servers['new'].take()
+        self.assertEqual(line.request(), 'next')
+        line.answer()
+        self.finish()
+        self.assertEqual(self.servers['c0'].all_seen(), [])
+
     def test_the_server_begins_to_drain(self):
         self.ask(self.client(), 'late')
         self.seen_so_far()
