Lists may come indented: a list on the watch may take many lines

Now lines are joined until braces and brackets outside of texts are closed; an empty line, which says that nothing has changed, inside a list ends the watch, so a list that never ends cannot hold it.

--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 
 from .http import ANSWER, BadMessage, Chunks, Reader
 from .logs import LOG, warn
@@ -19,7 +20,8 @@
 # has counts as told, watch or none, and sends must have ceased 0.4 s later.
 FIRST, MOST = 1_000, 2_500
 WORDS = {state: word for word, state in STATES.items()}
-MAX_LIST = 4 << 20                      # one line of the watch, in bytes
+MAX_LIST = 4 << 20                      # one list on the watch, in bytes
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')                 # a string in a list, which hides what is in it
 
 
 class Entry:
@@ -53,12 +55,18 @@
     return find(tree, 'generation', int), find(tree, 'reset', bool), [Entry(row) for row in rows]
 
 
+def nests(line):
+    """How many braces and brackets a line opens and does not close."""
+    return line.count(b'{') + line.count(b'[') - line.count(b'}') - line.count(b']')
+
+
 class Watch(Outgoing):
     """One watch, from its request to its end."""
 
     def __init__(self, discovery):
         self.discovery, self.reader = discovery, Reader(ANSWER)
         self.number, self.chunks, self.line = None, None, bytearray()
+        self.open, self.depth = [], 0   # lines of a list that is indented and not all here; how deep it stands
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -94,13 +102,25 @@
         while (end := self.line.find(b'\n')) >= 0:
             line = bytes(self.line[:end]).strip()
             del self.line[:end + 1]
-            if line:
-                self.discovery.told(read_list(json.loads(line)))
-        if len(self.line) > MAX_LIST:
+            if not line and self.open:
+                raise BadLine('a list that is not whole')       # an empty line has its own sense: nothing has changed
+            if line and (whole := self.joined(line)):
+                self.discovery.told(read_list(json.loads(whole)))
+        if len(self.line) + sum(map(len, self.open)) > MAX_LIST:
             raise BadLine('line too long')
         if self.chunks.ended:
             self.discovery.lost(self, 'ended')
 
+    def joined(self, line):
+        """The list that ends with this line, which may be one of many if it comes indented; None while it is not all here."""
+        if self.open or nests(line):
+            self.depth += nests(TEXT.sub(b'', line))
+        self.open.append(line)
+        if self.depth > 0:
+            return None
+        lines, self.open, self.depth = self.open, [], 0
+        return b' '.join(lines)
+
     def connectionLost(self, reason=None):
         self.discovery.lost(self, 'connection lost')
 
