SIGTERM: the door outlasts idle connections, its queue is emptied, no remembered list

Three crossings, each forced on loopback and failing before. Of six that waited in the queue as the door was shut five were reset ([404, None, None, None, None, None]): now it is shut only once accept finds nobody, and from SIGTERM on the system does not keep silent connections to itself.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -4,6 +4,7 @@
 transaction, end a connection that owes an answer, or let bad input raise out of it.
 """
 
+import socket
 from socket import AF_INET, AF_INET6
 
 from twisted.internet.protocol import Factory, Protocol
@@ -29,6 +30,7 @@
 SLOW = 16_384                           # bytes of a body that give a client a second more for the rest of it
 LOOK = 1_000                            # between two looks at who has stayed for too long; a tenth while full
 AMPLE = 0.5                             # part of the budget from which a new connection has an idle one make way
+QUIET = 2_500                           # nobody has come for so long: nobody is on the way
 NEARLY = 2                              # places left when a connection is not kept after its answer
 WRONG = 4                               # requests for what does not exist, until a client's connection ends
 HELD = 2 * http.MAX_BODY                # read ahead of the answer that is owed; then the client is paused
@@ -302,6 +304,7 @@
     def part(self):
         """Close between requests. One that crosses this is reset unread, and the client sends it anew."""
         self.front.put(self, PARTING)
+        self.front.parted = self.front.clock()
         self.transport.loseConnection()
 
     def connectionLost(self, reason=None):
@@ -328,7 +331,8 @@
         self.phases = {phase: {} for phase in (*STAYS, ASKED)}      # the longest there first
         self.port, self.full, self.shut = None, False, False
         self.yielded = False            # another process of this node accepts
-        self.came = 0                   # when the last client connected
+        self.came, self.met = 0, 0      # when the last client connected; how many have
+        self.parted = 0                 # when one that rested was last asked to go
 
     def listen(self, reactor, host, port, given=None):
         """Accept clients from now on, at an address or at a listening socket that another process gave."""
@@ -370,7 +374,7 @@
         or a front before the node, none to ask on: well before places run out the longest idle makes way. If
         all are taken nobody is accepted until one has gone; they wait in the system's queue and lose nothing."""
         client.number = self.table.add(client)
-        self.came = self.clock()
+        self.came, self.met = self.clock(), self.met + 1
         self.put(client, FRESH)
         if len(self.table) > self.budget * AMPLE:
             self.make_room(1, BUSY)
@@ -428,6 +432,22 @@
     def uncrowded(self, _):
         self.see_to_door()
 
+    def show_all(self):
+        """The node is to exit: the system shows connections at the door from now on before they have said anything. Guards
+        against one that is closed, with what it then says, because nobody saw it."""
+        self.port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 0)
+
+    def nobody_comes(self, until):
+        """Whether the door may be shut: nobody has come for a while, counted from this time at the latest, and nobody waits
+        there. Whose request crossed the end of a connection that rested comes again, and finds the door open."""
+        if self.clock() < max(min(self.came, until), self.parted) + QUIET:
+            return False
+        if not (self.full or self.shut or self.yielded):
+            met, self.port.numberAccepts = self.met, 1
+            self.port.doRead()
+            return self.met == met
+        return True
+
     def shut_door(self):
         """Accept nobody any more."""
         if not self.shut:
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -81,6 +81,7 @@
         self.kin, self.exit = None, 0   # links to other processes of this node; the exit code
         self.fleet = None               # what this node shares with others, where a fleet file says so (plan/fleet.py)
         self.last = None                # once it is to exit: until when all is answered
+        self.ending = None              # SIGTERM, and when it came, while that waits for discovery's first word
         self.pulling = False
         self.counts = Counter()
 
@@ -151,6 +152,8 @@
             self.kin.serves()
         say('serving', node=self.place.name, address='%s:%d' % self.place.listen, servers=len(self.servers),
             descriptors=self.descriptors())
+        if self.ending:
+            self.drain(*self.ending)
 
     def ready(self):
         """Whether clients should come here."""
@@ -169,21 +172,25 @@
         """Whether clients are asked to close."""
         return self.phase != SERVING
 
-    def drain(self, signum=signal.SIGTERM):
-        """SIGTERM: answer all that is taken and all that still comes, then exit."""
-        if self.front.port:
-            self.serve()                # who waits at the door is owed an answer too
-        if self.phase == STARTING:
+    def drain(self, signum=signal.SIGTERM, since=None):
+        """SIGTERM: answer all that is taken and all that still comes, then exit. Who waits at the door of a node that starts is
+        owed an answer too, but not by a list that is only remembered: first discovery speaks, or its watch is lost."""
+        since = self.clock() if since is None else since
+        if self.phase == STARTING and self.front.port:
+            self.ending = self.ending or (signum, since)
+        elif self.phase == STARTING:
             self.phase = STOPPED
             self.reactor.stop()
         elif self.can_serve():
             self.phase = DRAINING
+            if not self.handed:         # else the heir's door is the same
+                self.front.show_all()
             say('draining', signal=signum, open=len(self.errands), clients=len(self.front.table),
                 succeeded=self.succeeded)
             if self.kin:
                 self.kin.succession.end()
-            self.last = self.clock() + self.front.slowest + COMING
-            self.deadlines.at(self.clock() + COMING, self.leave, self.clock())
+            self.last = since + self.front.slowest + COMING
+            self.deadlines.at(since + COMING, self.leave, since)
 
     def reread(self, path):
         """SIGHUP: the page may name another address of discovery. All else in it is for the next start; a page
@@ -204,7 +211,7 @@
         self.front.close_idle(RESTED if self.succeeded and now < since + 4 * COMING else 0)
         # With an heir the queue is held on to until the exit: should the heir stand still, nobody else looks at it.
         held = self.handed or self.holding
-        if now >= self.last - COMING or not held and now >= min(self.front.came, since + COMING) + COMING // 2:
+        if now >= self.last - COMING or not held and self.front.nobody_comes(since + COMING):
             self.front.shut_door()
         if not len(self.front.table) and (self.front.shut or not self.holding and held) or now >= self.last + COMING // 5:
             self.phase = STOPPED
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -213,3 +213,91 @@
         again, _ = self.agent.watch()
         again.say(chunk(told(2, self.row('o'))))
         self.assertIn('caches=0', self.until('list'))
+
+
+class Starting(Crossing):
+    """Signals before the node serves."""
+
+    watches = False
+
+    def test_sigterm_before_discoverys_first_word_sends_nobody_by_a_remembered_list(self):
+        watch, _ = self.agent.watch()
+        client = self.client()
+        self.ask(client, 'early')
+        self.signal(signal.SIGTERM)
+        self.signal(signal.SIGHUP)
+        self.until('page read')         # in the turn of the one it deals with the other
+        self.assertEqual(select.select([self.servers[name].socket for name in self.names], [], [], 0.3)[0], [])
+        watch.say(chunk(told(5, self.row('c0', lifecycle='DRAINING'), self.row('o', lifecycle='DRAINING'))))
+        self.until('draining')
+        self.assertEqual(client.answered()[0], 503)
+        self.assertEqual(self.finish(), [])
+
+    def test_sigterm_before_it_and_the_watch_breaks(self):
+        watch, _ = self.agent.watch()
+        self.signal(signal.SIGTERM)
+        client = self.client()
+        self.ask(client, 'early')
+        watch.close()
+        hop = self.servers['c0'].take()
+        self.assertEqual(hop.request(), 'early')
+        hop.answer()
+        self.assertEqual(client.answered()[0], 200)
+        self.assertEqual(self.finish(), ['early'])
+
+
+class Ending(Crossing):
+    """SIGTERM, and what comes just then."""
+
+    def test_a_request_crosses_the_end_of_its_idle_connection_and_comes_again(self):
+        client = self.client()
+        hop = self.served(client, 'first')
+        self.signal(signal.SIGTERM)
+        client.ended()
+        again = self.client()
+        self.ask(again, 'again')
+        self.assertEqual(hop.request(), 'again')
+        hop.answer()
+        self.assertEqual(again.answered()[0], 200)
+        self.assertEqual(self.finish_only(), 0)
+
+    def finish_only(self):
+        for line in self.clients:
+            line.close()
+        return self.running.wait(20)
+
+    def test_several_wait_in_the_queue_as_the_door_is_to_be_shut(self):
+        self.signal(signal.SIGTERM)
+        self.until('draining')
+        self.stop()
+        waiting = [self.client() for _ in range(6)]
+        for line in waiting:
+            line.say(b'GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n')
+        time.sleep(1.0)                 # the time at which the door is shut has passed
+        self.go_on()
+        self.assertEqual([line.answered()[0] for line in waiting], [404] * 6)
+        self.assertEqual(self.finish_only(), 0)
+
+    def test_signals_come_again_while_it_drains(self):
+        client = self.client()
+        self.ask(client, 'open')
+        hop = self.servers['c0'].take()
+        hop.request()
+        self.signal(signal.SIGTERM)
+        self.until('draining')
+        for signum in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            self.signal(signum)
+        self.until('page read')
+        hop.answer()
+        self.assertEqual(client.answered(), (200, b'abc'))
+        self.assertEqual(self.finish_only(), 0)
+
+    def test_its_servers_hang_and_all_have_an_answer_before_the_end(self):
+        clients = [self.client() for _ in range(3)]
+        for number, line in enumerate(clients):
+            self.ask(line, 'h%d' % number, more='Req-Deadline: 0.4\r\n')
+        for _ in clients:
+            self.servers['c0'].take().request()
+        self.signal(signal.SIGTERM)
+        self.assertEqual({line.answered()[0] for line in clients}, {503})
+        self.assertEqual(self.finish_only(), 0)
