SIGHUP while a node starts neither ends it nor is lost

Seen before the change: SIGHUP between the program's start and serve()'s handler ended the process (exit -1), and one that came while an heir asked its elder was dropped, as reread() wanted a listening port. A move before the first watch only sets the address. The test holds the page in a pipe, so the signal comes just then.

--- a/lilacdyke/__main__.py
+++ b/lilacdyke/__main__.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import signal
 import sys
 
 import click
@@ -80,8 +81,10 @@
     """Run one node until SIGTERM has drained it."""
     from .net import logs, node
     logs.begin(log_level)
+    early = []                          # SIGHUP that comes from before the page is read until the node listens for it
+    signal.signal(signal.SIGHUP, lambda *_: early.append(True))
     place = with_operator(read(config))
-    sys.exit(node.serve(place, config, in_fleet(place, fleet) if fleet else None))
+    sys.exit(node.serve(place, config, in_fleet(place, fleet) if fleet else None, early))
 
 
 @main.command()
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -154,7 +154,8 @@
             return False
         self.close()
         self.where, self.failures = where, 0
-        self.open()
+        if self.turn:                   # else the start opens it
+            self.open()
         return True
 
     def request(self):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -195,7 +195,7 @@
     def reread(self, path):
         """SIGHUP: the page may name another address of discovery. All else in it is for the next start; a page
         that cannot be read changes nothing."""
-        if not self.front.port or self.phase == STOPPED:
+        if self.phase == STOPPED:
             return
         try:
             where = page(path).discovery
@@ -611,8 +611,9 @@
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
 
 
-def serve(place, path, fleet=None):
-    """Run a node, whose page is at this path, until it has drained. fleet: what a fleet file says, read and checked, or None."""
+def serve(place, path, fleet=None, early=()):
+    """Run a node, whose page is at this path, until it has drained. fleet: what a fleet file says, read and checked, or None.
+    early: filled if SIGHUP came since before the page was read; it may have been read too soon."""
     from twisted.internet.main import installReactor
     from twisted.logger import STDLibLogObserver, globalLogBeginner
     globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
@@ -626,6 +627,8 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, lambda n, _: reactor.callFromThread(node.drain, n))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reread, path))
+    if early:
+        reactor.callFromThread(node.reread, path)
     try:
         node.start(os.environ.get('TMPDIR'))
     except CannotListenError as err:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -246,6 +246,47 @@
         self.assertEqual(self.finish(), ['early'])
 
 
+class Hangup(Crossing):
+    """SIGHUP while the page is being read, before the node is there."""
+
+    watches = False
+
+    def prepare(self):
+        os.mkfifo(self.path)
+
+    def give(self, agent):
+        """Wait until the program opens its page, and write it. A program that has ended opens nothing."""
+        while True:
+            try:
+                pipe = os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
+                break
+            except OSError:             # nobody has it open yet
+                self.assertIsNone(self.running.poll())
+                time.sleep(0.01)
+        os.set_blocking(pipe, True)
+        with open(pipe, 'w', encoding='utf-8') as file:
+            yield
+            file.write(self.page(agent))
+
+    def test_it_ends_nobody_and_the_page_is_read_once_more(self):
+        other = Stand()
+        self.addCleanup(other.socket.close)
+        reading = self.give(self.agent)
+        next(reading)
+        self.signal(signal.SIGHUP)
+        os.unlink(self.path)            # who opens it again has another pipe
+        os.mkfifo(self.path)
+        for _ in reading:
+            pass
+        for _ in self.give(other):
+            pass
+        watch, _ = other.watch()
+        watch.say(chunk(told(5, *self.rows())))
+        self.until('serving')
+        self.assertEqual(self.finish(), [])
+        watch.close()
+
+
 class Ending(Crossing):
     """SIGTERM, and what comes just then."""
 
