A large answer that never ends is broken off at its request's limit

Seen on loopback before the change: the client of an answer over 64 KiB that stops coming was held for 10 s (10.09 not less than 3.0), with a limit of 0.5 s. Cause: once such an answer begins, the errand is forgotten, and only POURING's own 10 s bound it. Small answers that never end, also after an interim one, ended at the limit before.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -50,6 +50,7 @@
         self.flows = None               # the request whose large body still comes
         self.link = None                # the connection that it goes to, once there is one
         self.flow, self.source = None, None     # a large answer on its way, and where it comes from
+        self.until = 0                  # when a large answer has to have gone whole
         self.skips = False              # the rest of a large body is read and forgotten
 
     def connectionMade(self):
@@ -465,6 +466,15 @@
         """More was sent behind the request just answered: read it in a turn of its own."""
         self.deadlines.at(self.clock(), self.read_on, client.number)
 
+    def pour_due(self, number_):
+        """The time of a large answer is up. Guards against one that never ends: its client has a limit like any other, and can
+        tell that it is not whole."""
+        client = self.table.get(number_)
+        if client and client.flow and self.clock() >= client.until:
+            source, client.source = client.source, None
+            source.drop()
+            client.broken_off()
+
     def read_on(self, number_):
         client = self.table.get(number_)
         if client and client.flows:
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -453,6 +453,9 @@
                 client.reply(http.answer(400, lasting, 'turned away by the server\n'))
             elif answer.source:
                 client.pour(answer, minor)
+                if errand.tx.limit is not None:
+                    client.until = errand.tx.limit
+                    self.deadlines.at(client.until, self.front.pour_due, client.number)
             else:
                 client.reply(http.relayed(answer, lasting))
         note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -342,3 +342,75 @@
         self.signal(signal.SIGTERM)
         self.assertEqual({line.answered()[0] for line in clients}, {503})
         self.assertEqual(self.finish_only(), 0)
+
+
+class Hops(Crossing):
+    """Connections to servers that end, or say more, at the wrong instant."""
+
+    def test_a_resting_one_is_ended_while_the_node_stands_still(self):
+        client = self.client()
+        hop = self.served(client, 'first')
+        self.stop()
+        hop.close()
+        self.ask(client, 'second')
+        self.go_on()
+        again = self.servers['c0'].take()
+        self.assertEqual(again.request(), 'second')
+        again.answer()
+        self.assertEqual(client.answered()[0], 200)
+
+    def test_a_second_answer_comes_late_and_is_nobodys(self):
+        client = self.client()
+        hop = self.served(client, 'first')
+        self.stop()
+        hop.answer(body=b'not asked for')
+        self.ask(client, 'second')
+        self.go_on()
+        again = self.servers['c0'].take()
+        self.assertEqual(again.request(), 'second')
+        again.answer(body=b'asked for')
+        self.assertEqual(client.answered(), (200, b'asked for'))
+
+    def test_a_decline_and_the_end_of_its_connection_come_together(self):
+        client = self.client()
+        self.ask(client, 'a', 'PUT', '/once/k', b'hi')
+        hop = self.servers['o'].take()
+        hop.request()
+        self.stop()
+        hop.answer(503, b'', b'Srv-Declined: 1\r\nConnection: close\r\n')
+        hop.close()
+        self.go_on()
+        again = self.servers['o'].take()        # it surely never ran, so it goes once more, on a connection of its own
+        self.assertEqual(again.request(), 'a')
+        again.answer()
+        self.assertEqual(client.answered()[0], 200)
+
+    def test_an_answer_comes_before_the_request_has_left(self):
+        client = self.client()
+        client.say(b'PUT /once/k HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nContent-Length: 100000\r\n\r\n' + b'x' * 80_000)
+        hop = self.servers['o'].take()
+        hop.head()
+        hop.answer(503, b'', b'Srv-Declined: 1\r\n')
+        self.assertEqual(client.answered()[0], 503)
+        self.assertTrue(hop.ended())
+
+    def test_a_word_before_the_answer_that_never_comes(self):
+        client = self.client()
+        self.ask(client, 'a', more='Req-Deadline: 0.3\r\n')
+        hop = self.servers['c0'].take()
+        hop.request()
+        hop.say(b'HTTP/1.1 102 X\r\n\r\n')
+        self.assertEqual(client.answered()[0], 503)
+        self.assertTrue(hop.ended())
+
+    def test_a_large_answer_that_never_ends_is_broken_off_at_the_limit(self):
+        client = self.client()
+        self.ask(client, 'a', more='Req-Deadline: 0.5\r\n')
+        hop = self.servers['c0'].take()
+        hop.request()
+        begun = time.monotonic()
+        hop.say(HEAD + chunk(b'x' * 100_000))
+        self.assertTrue(client.ended())
+        self.assertNotIn(b'0\r\n\r\n', client.buffer[-16:])
+        self.assertLess(time.monotonic() - begun, 3.0)
+        self.assertTrue(hop.ended())
