--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -519,6 +519,29 @@
         cache = dialled(made)
         self.assertEqual((cache.value(), cache.disconnecting), (b'', True))
 
+    def test_a_repeat_does_not_leave_later_than_a_connection_may_take_to_come_up(self):
+        """The rule on repeats sets so much of their window aside, and no more: another's dial may come up later than its own."""
+        made = node()
+        server, message = made.router.caches[0], asked(made).protocol.errand.message
+        refused(made)
+        repeat, first = (made.caches.send(server, message, made.clock() + 9_000, lambda: True, again) for again in (True, False))
+        ended = []
+        for trip in (repeat, first):
+            trip.done.addCallback(lambda ending: ended.append(ending[0]))
+        pool = made.caches.pools[server]
+        repeat.by = made.clock() - 1
+        wire = dialled(made)
+        self.assertEqual((ended, first.link is wire.protocol, pool.waiting), (['unsent'], True, type(pool.waiting)()))
+
+    def test_what_has_not_left_whole_need_not_where_nothing_may_be_cancelled(self):
+        made = node()
+        made.place.terms.may_cancel = False
+        wire = asked(made)
+        cache = dialled(made, stuck=True)
+        cache.protocol.left = False             # the system took a part
+        lost(wire)
+        self.assertEqual((cache.aborted, len(made.passages)), (True, 0))
+
     def test_a_hop_tells_how_long_it_is_waited_for_from_when_it_leaves(self):
         made = node()
         asked(made)
