SIGTERM: who has just come is not asked to go with the idle ones

One that has said nothing stays for 0.25 s now. The new test fails without it ((True, True) != (False, True)).

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -483,11 +483,12 @@
             client.advance()
 
     def close_idle(self, rested=0):
-        """Ask clients to go that have been between requests for so long."""
-        before = self.clock() - rested
-        for client in [*self.phases[FRESH].values(), *self.phases[RESTING].values()]:
-            if client.since <= before:
-                client.overdue()
+        """Ask clients to go that have been between requests for so long; one that has just come has its request on the way."""
+        now = self.clock()
+        for phase, least in ((FRESH, max(rested, QUIET)), (RESTING, rested)):
+            for client in list(self.phases[phase].values()):
+                if client.since <= now - least:
+                    client.overdue()
 
     def requested(self, client, message):
         """A whole request: to the node, or answered here."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -790,6 +790,17 @@
         made.reactor.advance(0.1)
         self.assertEqual((early, wire.disconnecting), (False, True))
 
+    def test_one_that_comes_as_idle_clients_are_asked_to_go_is_not(self):
+        """From SIGTERM on the system shows it before its request is here."""
+        made = node()
+        made.drain()
+        made.reactor.advance(0.49)
+        _, wire = client(made)
+        made.reactor.pump([0.02] * 5)
+        early = wire.ended
+        made.reactor.pump([0.05] * 5)
+        self.assertEqual((early, wire.disconnecting), (False, True))
+
     def test_a_client_that_never_leaves_does_not_hold_the_exit(self):
         made = node()
         asked(made, 'GET /read/k HT')
