--- a/tests/lab/test_judges.py
+++ b/tests/lab/test_judges.py
@@ -73,6 +73,12 @@
     def test_a_client_that_left_is_owed_nothing(self):
         self.assertEqual(self.broken(UP, ask(), ('left', SECOND + 5, 'a')), [])
 
+    def test_nothing_is_sent_on_for_long_after_its_client_left_though_the_node_stood_still(self):
+        for after, told in ((-10, []), (250_000, []), (310_000, ['forsaken'])):
+            with self.subTest(after=after):
+                rows = ask(), ('left', 2 * SECOND, 'a'), hop(at=2 * SECOND + after), ('fault', SECOND, 'standstill', '', 3 * SECOND)
+                self.assertEqual(self.broken(UP, *rows), told)
+
     def test_answered_twice(self):
         self.assertEqual(self.broken(UP, ask(), made(), answer(), answer(at=SECOND + 99)), ['answered'])
 
