An elder's answer after SIGTERM begins nothing; an indented list is held as bytes

The first: a test of SIGTERM on a node that still asks its elder found that the answer, or the end of the wait, had it listen and watch though it was to exit (a port where None was to be); begin_or_end looks at the phase now. SIGHUP there is kept, with a test.

--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -66,7 +66,7 @@
     def __init__(self, discovery):
         self.discovery, self.reader = discovery, Reader(ANSWER)
         self.number, self.chunks, self.line = None, None, bytearray()
-        self.open, self.depth = [], 0   # lines of a list that is indented and not all here; how deep it stands
+        self.open, self.depth = bytearray(), 0      # what is here of an indented list; how deep it stands
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -106,7 +106,7 @@
                 raise BadLine('a list that is not whole')       # an empty line has its own sense: nothing has changed
             if line and (whole := self.joined(line)):
                 self.discovery.told(read_list(json.loads(whole)))
-        if len(self.line) + sum(map(len, self.open)) > MAX_LIST:
+        if len(self.line) + len(self.open) > MAX_LIST:
             raise BadLine('line too long')
         if self.chunks.ended:
             self.discovery.lost(self, 'ended')
@@ -115,11 +115,11 @@
         """The list that ends with this line, which may be one of many if it comes indented; None while it is not all here."""
         if self.open or nests(line):
             self.depth += nests(TEXT.sub(b'', line))
-        self.open.append(line)
+        self.open += line + b' '
         if self.depth > 0:
             return None
-        lines, self.open, self.depth = self.open, [], 0
-        return b' '.join(lines)
+        whole, self.open, self.depth = self.open, bytearray(), 0
+        return whole
 
     def connectionLost(self, reason=None):
         self.discovery.lost(self, 'connection lost')
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -109,7 +109,9 @@
             self.begin(None, None)
 
     def begin_or_end(self, told, fd):
-        """Begin; a start that fails ends the program."""
+        """Begin, unless SIGTERM came while an elder was asked; a start that fails ends the program."""
+        if self.phase == STOPPED:
+            return
         try:
             self.begin(told, fd)
         except CannotListenError as err:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -179,11 +179,16 @@
         self.elapsed = reactor.seconds
 
 
-def starting(**other):
-    """A node that has begun and heard nothing yet, on a reactor of its own; its clock is that reactor's."""
+def unbegun(**other):
+    """A node on a reactor of its own; its clock is that reactor's."""
     reactor = MemoryReactorClock()
     reactor.listenTCP = Port
-    made = Node(place(page(**other)), reactor, Machine(reactor))
+    return Node(place(page(**other)), reactor, Machine(reactor))
+
+
+def starting(**other):
+    """The same, begun; it has heard nothing yet."""
+    made = unbegun(**other)
     made.start()
     return made
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,9 +15,10 @@
 from zlib import crc32
 
 from lilacdyke.net.handover import PREFIX, Link
+from lilacdyke.net.node import STOPPED
 from lilacdyke.net.succession import Succession
 
-from .helpers import SETTINGS, Wire, asked, entry, node, page, said, sent, starting
+from .helpers import SETTINGS, Wire, asked, entry, node, page, said, sent, starting, unbegun
 from .test_net import READY, Quiet, status
 
 
@@ -157,6 +158,36 @@
                 self.assertTrue(wire.aborted)
 
 
+class Asking(Quiet):
+    """A node that asks an elder, which has not answered yet."""
+
+    def setUp(self):
+        super().setUp()
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.made = unbegun(operator='127.0.0.1:9001')
+        self.made.reactor.connectUNIX = lambda *given, **named: None
+        name = PREFIX % crc32(repr((self.made.place.name, self.made.place.listen)).encode())
+        with socket.socket(socket.AF_UNIX) as elder:
+            elder.bind(os.path.join(self.folder.name, name + '1'))
+        self.made.start(self.folder.name)
+
+    def test_sigterm_ends_it_and_an_answer_that_comes_then_begins_nothing(self):
+        self.made.drain()
+        ended = self.made.phase, self.made.reactor.hasStopped
+        self.made.reactor.advance(1.1)          # it asks nobody for longer
+        self.assertEqual((ended, self.made.phase, self.made.front.port), ((STOPPED, True), STOPPED, None))
+
+    def test_sighup_is_not_lost_on_it(self):
+        path = os.path.join(self.folder.name, 'page.json')
+        with open(path, 'w', encoding='utf-8') as file:
+            file.write(page(discovery='127.0.0.1:8501'))
+        self.made.reread(path)
+        before = len(self.made.reactor.tcpClients)
+        self.made.reactor.advance(1.1)
+        self.assertEqual((before, [client[:2] for client in self.made.reactor.tcpClients]), (0, [('127.0.0.1', 8501)]))
+
+
 class Caches(ThreadingHTTPServer):
     """A cache server, or the origin, that keeps what it was asked and when."""
 
