--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -231,10 +231,10 @@
 def hop_doubled(put, chance):
     usual = Caches.send
 
-    def send(self, server, message, until):
+    def send(self, server, message, until, *rest):
         if chance() < 0.05:
-            usual(self, server, message, until)
-        return usual(self, server, message, until)
+            usual(self, server, message, until, *rest)
+        return usual(self, server, message, until, *rest)
     put(Caches, 'send', send)
 
 
