Discovery is tried again within half of the drain's grace, also where lists are asked for

Cause: where lists are asked for, a lost watch was opened again only when the module asked (Known.list_failed), up to 0.6 s later and with each failure longer, up to 1.5 of a quarter of askWithinS; what the agent has counts as told meanwhile. Pushed lists had a bound of 0.25 s, which is no bound for a grace of 0.25 s either.

Change: the node's own backoff holds for both modes, and both ends of it are parts of stopSendingWithinS (0.25, 0.625: for 0.4 s as before). The module's own wait, which is for calls that cost, stays. A watch on which bytes come but no whole line is opened anew after 4.5 s.

--- a/lilacdyke/decode.py
+++ b/lilacdyke/decode.py
@@ -115,7 +115,7 @@
     """What one node on sockets is told of itself. Addresses are pairs of a literal host and a port."""
 
     __slots__ = ('name', 'listen', 'discovery', 'seed', 'sockets', 'known', 'terms', 'rank', 'origin_kind',
-                 'idle', 'connect_within', 'memory', 'operator', 'zones', 'installation')
+                 'idle', 'connect_within', 'stop_within', 'memory', 'operator', 'zones', 'installation')
 
     def __init__(self, **given):
         for name in self.__slots__:
@@ -157,7 +157,8 @@
         sockets=find(tree, 'limits.sockets', int), known=find(tree, 'known', dict),
         terms=terms, rank=rank, origin_kind=kinds[origin] if origin >= 0 else None,
         idle=down(find(tree, 'settings.limits.connIdleS', REAL)),
-        connect_within=within, memory=find(tree, 'limits.memory_mb', int) << 20,
+        connect_within=within, stop_within=down(find(tree, 'settings.safety.stopSendingWithinS', REAL)),
+        memory=find(tree, 'limits.memory_mb', int) << 20,
         operator=address(find(tree, 'operator', str)) if 'operator' in tree else None,
         zones=shape(settings),
         installation=find(tree, 'installation', str) if 'installation' in tree else None)
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -14,11 +14,15 @@
 from ..decode import address, find
 from ..values import STATES, BadLine, up
 
-SILENCE = 30_000                        # a watch has a line every 2 s; after this it is dead
+# What is told late adds up: a watch that hangs, one wait, one call that is answered at once. The sum stays under the 6 s after which a
+# change counts as told (docs/architecture.md).
+SILENCE = 30_000                        # a watch has a line every 2 s; with no byte for so long it is dead
+PARTIAL = 45_000                        # nor may bytes go on coming for longer with no whole line among them
 ANSWERED = 10_000                       # for its head: discovery is on this machine and answers at once
-# Waits before the next try: the first, doubling, and the longest. Guards against sends to servers that drain as discovery comes back: what the agent
-# has counts as told, watch or none, and sends must have ceased 0.4 s later.
-FIRST, MOST = 1_000, 2_500
+# Backoff between tries: the first and the longest, as parts of the time in which sends to a server that drains have to cease. Guards
+# against such sends as discovery comes back: what the agent has counts as told from then on, watch or none. Doubles.
+FIRST, MOST = 0.25, 0.625
+LEAST = 100                             # and the shortest, however soon sends have to cease
 WORDS = {state: word for word, state in STATES.items()}
 MAX_LIST = 4 << 20                      # one list on the watch, in bytes
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')                 # a string in a list, which hides what is in it
@@ -78,6 +82,7 @@
         try:
             self.reader.feed(data)
             if self.chunks or self.head():
+                self.discovery.heard = self.discovery.clock()
                 self.line += self.chunks.read(self.reader.buffer)
                 self.lines()
         except (BadMessage, BadLine, ValueError, RecursionError) as err:
@@ -98,7 +103,6 @@
 
     def lines(self):
         """Hand on each whole line; an empty one says that nothing has changed."""
-        self.discovery.heard = self.discovery.clock()
         while (end := self.line.find(b'\n')) >= 0:
             line = bytes(self.line[:end]).strip()
             del self.line[:end + 1]
@@ -106,6 +110,8 @@
                 raise BadLine('a list that is not whole')       # an empty line has its own sense: nothing has changed
             if line and (whole := self.joined(line)):
                 self.discovery.told(read_list(json.loads(whole)))
+            if not self.open:
+                self.discovery.whole = self.discovery.heard
         if len(self.line) + len(self.open) > MAX_LIST:
             raise BadLine('line too long')
         if self.chunks.ended:
@@ -132,9 +138,11 @@
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.where, self.chance, self.table = place.discovery, chance, Table()
         self.node = node
-        self.pushed = not place.terms.watched   # else the module says when to ask
+        self.pushed = not place.terms.watched   # else the module says when to ask first
+        self.first, self.most = (max(LEAST, int(place.stop_within * part)) for part in (FIRST, MOST))
         self.version, self.failures = None, 0
-        self.watch, self.opening, self.heard = None, None, 0
+        self.watch, self.opening = None, None
+        self.heard, self.whole = 0, 0   # when the watch last said something; when its last whole line came, or it was opened
         self.turn = 0                   # one more with each watch: a retry that another overtook is void
 
     def close(self):
@@ -174,7 +182,8 @@
         if self.watch:
             return
         self.turn += 1
-        self.watch, self.heard = Watch(self), self.clock()
+        self.watch = Watch(self)
+        self.heard = self.whole = self.clock()
         self.watch.number = self.table.add(self.watch)
         self.opening = connect(self.reactor, self.where, self.watch)
         watch = self.watch
@@ -182,11 +191,11 @@
         self.deadlines.at(self.heard + ANSWERED, self.silent, watch.number)
 
     def silent(self, number):
-        """Guards against a peer that vanished without a word, while connecting as later."""
+        """Guards against a peer that vanished without a word, while connecting as later, and one that trickles."""
         watch = self.table.get(number)
         if watch is None:
             return
-        due = self.heard + (SILENCE if watch.chunks else ANSWERED)
+        due = min(self.heard + SILENCE, self.whole + PARTIAL) if watch.chunks else self.heard + ANSWERED
         if self.clock() >= due:
             self.lost(watch, 'silent')
         else:
@@ -205,9 +214,9 @@
         self.failures += 1
         warn('watch lost', why=why, failures=self.failures, version=self.version)
         self.node.list_lost()
-        if self.pushed:
-            wait = min(MOST, FIRST << min(self.failures - 1, 8))
-            self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.retry, self.turn)
+        # Also where lists are asked for: the module's own wait is meant for calls that cost, and these are answered on this machine.
+        wait = min(self.most, self.first << min(self.failures - 1, 8))
+        self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.retry, self.turn)
 
 
 def started(entry, offset):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -90,6 +90,11 @@
                'coldFrom': 0.13, 'warmUpS': 24.0}}
 
 
+def grown(**other):
+    """Settings put otherwise here and there: values, or parts of tables."""
+    return {**SETTINGS, **{key: {**SETTINGS[key], **value} if isinstance(value, dict) else value for key, value in other.items()}}
+
+
 def entry(name, kind='std', state='SERVING', **other):
     """One server as discovery lists it."""
     row = {'instanceId': name, 'hostPort': '127.0.0.1:8000', 'zone': 'a', 'machineType': kind, 'cell': 0,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 from errno import ECONNREFUSED, EMFILE
+from random import Random
 
 from twisted.internet.error import ConnectBindError, ConnectionRefusedError
 from twisted.python.failure import Failure
@@ -18,8 +19,9 @@
 from lilacdyke.net.tables import Deadlines, Table
 from lilacdyke.values import BadLine
 
-from .helpers import SETTINGS, Wire, asked, client, dialled, entry, lost, node, page, refused, said, sent, starting
+from .helpers import SETTINGS, Wire, asked, client, dialled, entry, grown, lost, node, page, refused, said, sent, starting
 
+WATCH = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 READY = 'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n'
 PUT = 'PUT /%s/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\nhi'
 
@@ -38,7 +40,7 @@
 def watched(made):
     """The node's watch, with its head read: its wire."""
     wire = dialled(made, 0)
-    wire.protocol.dataReceived(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+    wire.protocol.dataReceived(WATCH)
     return wire
 
 
@@ -620,6 +622,52 @@
             longest = max(longest, without)
         self.assertTrue(5 <= longest <= 26, longest)
 
+    def test_where_lists_are_asked_for_it_is_no_longer_without_one(self):
+        for within in (0.4, 0.3, 0.05):
+            with self.subTest(within=within):
+                made = node(settings=grown(membershipMode='on_request', safety={'stopSendingWithinS': within}))
+                dialled(made).protocol.dataReceived(WATCH)
+                without, longest = 0, 0
+                for _ in range(1_200):
+                    made.reactor.advance(0.01)
+                    without = 0 if made.discovery.watch else without + 1
+                    longest = max(longest, without)
+                self.assertTrue(1 <= longest <= 100 * within, longest)
+
+    def test_whatever_call_failed_a_change_is_known_in_time(self):
+        """From when discovery could be reached until the list is in force: whatever the calls before that came to, and the one under
+        way then, which says nothing more, or trickles."""
+        chance, longest = Random(7), 0
+        for mode in ('pushed', 'on_request'):
+            for _ in range(60):
+                made = node(settings=grown(membershipMode=mode))
+                reached = made.clock() + chance.randrange(120_000)
+                told = self.play(made, chance, reached)
+                longest = max(longest, told - reached)
+        self.assertLess(longest, 50_000)
+
+    def play(self, made, chance, reached):
+        """Calls that fail until then, in any way; the first one after it is answered at once. When the list was in force."""
+        calls, trickling, change = 0, None, chunk({'generation': 9, 'reset': False, 'instances': [entry('c0', state='DRAINING')]})
+        while made.router.caches:
+            self.assertLess(made.clock(), reached + 100_000)
+            if len(made.reactor.tcpClients) > calls:
+                calls = len(made.reactor.tcpClients)
+                how, trickling = chance.choice(('refused', 'no connection', 'silent', 'head', 'trickle')), None
+                if made.clock() >= reached:
+                    dialled(made).protocol.dataReceived(WATCH + change)
+                elif how == 'refused':
+                    refused(made)
+                elif how != 'no connection':
+                    wire = dialled(made)
+                    if how != 'silent':
+                        wire.protocol.dataReceived(WATCH)
+                    trickling = wire if how == 'trickle' else None
+            if trickling and not trickling.aborted:
+                trickling.protocol.dataReceived(b'1\r\n \r\n')
+            made.reactor.advance(0.02)
+        return made.clock()
+
     def test_a_watch_moves_at_once_and_nothing_of_the_old_one_touches_the_new(self):
         made = node()
         old = watched(made)
