A client that reads late keeps its answer: its connection is closed and not reset

Seen: a client with a small window asks with Connection: close, is answered 1,000,000 bytes and begins to read 2 s later: 32,705 arrive, then a reset. Cause: Client.overdue reset who had not closed 1 s after its last answer was written, with the rest of that answer still in the transport or with the system; a reset throws that away.

The assertion that asked for a reset of who never closes asked for the fault itself; it now asks for the close, and a second test for the wait.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -192,7 +192,9 @@
     def overdue(self):
         """It has stood where it is for too long. Whether it makes way."""
         if self.phase == PARTING:
-            self.transport.abortConnection()
+            if waiting(self.transport) and self.front.clock() < self.since + STAYS[POURING][0]:
+                return False            # its answer has not left yet
+            self.leave()
         elif self.phase == POURING:
             self.front.node.count('not_read')
             self.transport.abortConnection()
@@ -207,6 +209,13 @@
             return False
         return True
 
+    def leave(self):
+        """Close behind its last answer, of which the system sends on what it still holds. A reset would take that back."""
+        if waiting(self.transport):
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
+
     def stalls(self):
         """Whether it is the server that takes no more of the body, and not for too long."""
         return self.front.clock() < self.since + STAYS[POURING][0]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -191,6 +191,15 @@
         made = node()
         wire = asked(made, 'nonsense\r\n\r\n')
         made.reactor.advance(1.1)
+        self.assertEqual((wire.disconnecting, wire.aborted), (True, False))     # a reset would take the answer back
+
+    def test_one_whose_answer_has_not_left_is_not_closed_on(self):
+        made = node()
+        wire = asked(made, 'nonsense\r\n\r\n')
+        wire.dataBuffer = b'the rest'
+        made.reactor.pump([0.5] * 10)
+        self.assertFalse(wire.disconnecting or wire.aborted)
+        made.reactor.pump([0.5] * 12)
         self.assertTrue(wire.aborted)
 
     def test_one_that_says_nothing_is_closed_in_time_and_so_is_one_that_says_next_to_nothing(self):
