After SIGTERM all is answered before SIGKILL may come, however long the limits are

The node went by its longest limit: with one of 6 s two requests at hung servers were answered 6.07 s after SIGTERM, and a process killed at 3.7 s would have lost them. A large answer without a length that was on its way at the exit would also have ended in order, as if it were whole.

Change: 3.5 s after SIGTERM at the latest the limit of all that is open has come, also of what was taken before the signal, and large answers on their way are broken off.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -484,6 +484,27 @@
             source.drop()
             client.broken_off()
 
+    def hasten(self, last):
+        """The process ends soon after that: what is on its way by then is broken off, as an exit would look like its end."""
+        for client in self.phases[POURING].values():
+            if not client.until or client.until > last:
+                client.until = last
+                self.deadlines.at(last, self.pour_due, client.number)
+
+    def held_due(self, number_):
+        """Guards against a large request whose last byte came while a server, or a connection to one, kept its body waiting: its client
+        has a limit like any other."""
+        client = self.table.get(number_)
+        if client is None:
+            return
+        client.timed = False
+        if client.held and client.flows and client.errand:
+            if self.clock() >= client.time_up():
+                self.node.time_up(client.errand)
+            else:
+                client.timed = True
+                self.deadlines.at(client.time_up(), self.held_due, number_)
+
     def read_on(self, number_):
         client = self.table.get(number_)
         if client and client.flows:
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -30,6 +30,8 @@
 STARTING, SERVING, AWAY, DRAINING, STOPPED = 'starting', 'serving', 'away', 'draining', 'stopped'
 SPARE, LEAST = 32, 4                    # descriptors for all but clients and caches; what each has at least
 COMING = 5_000                          # after SIGTERM clients go on coming for less than this
+GRACE = 30_000                          # SIGKILL may come so long and a little more after SIGTERM, however long clients would wait
+TAIL = 4_000                            # a large answer on its way has this beyond its limit: 0.5 s after that it is lost, before only late
 RESTED = 2_500                          # idle so long, a connection is unlikely to be asked on while it closes
 FIGURES = 10 * SECOND                   # between two lines of figures
 
@@ -191,9 +193,20 @@
                 succeeded=self.succeeded)
             if self.kin:
                 self.kin.succession.end()
-            self.last = since + self.front.slowest + COMING
+            self.last = since + min(self.front.slowest, GRACE) + COMING
+            for errand in self.errands:
+                self.hasten(errand)
+            self.front.hasten(self.last)
             self.deadlines.at(since + COMING, self.leave, since)
 
+    def hasten(self, errand):
+        """The process ends soon, and owes an answer before. Guards against SIGKILL, which does not wait for the longest limits."""
+        tx = errand.tx
+        if self.last and tx.limit is not None and tx.limit > self.last:
+            tx.limit = self.last
+            self.router.alarm(tx.limit, tx)
+            self.deadlines.at(tx.limit, self.limit_due, errand.number)
+
     def reread(self, path):
         """SIGHUP: the page may name another address of discovery. All else in it is for the next start; a page
         that cannot be read changes nothing."""
@@ -340,8 +353,6 @@
         """A client's request has come whole, or the head of a large one: one answer is owed from here on."""
         errand = client.errand = Errand(client, message, wait)
         limit = None if message.source else since + wait
-        if limit and self.last:
-            limit = min(limit, self.last)       # the process ends soon after, and owes an answer before
         errand.number = self.errands.add(errand)
         self.ids.add(errand.name)
         self.count('taken')
@@ -350,6 +361,7 @@
         errand.tx.ref, errand.shared = errand, self.fleet is not None and not errand.tx.refused
         if limit is not None:
             self.deadlines.at(limit, self.limit_due, errand.number)
+        self.hasten(errand)
         self.settle()
 
     def body_spent(self, errand):
@@ -361,6 +373,7 @@
         limit = when + errand.wait
         self.router.body_came(self.clock(), errand.tx, limit)
         self.deadlines.at(limit, self.limit_due, errand.number)
+        self.hasten(errand)
         for passage in errand.passages:
             if not self.place.terms.may_cancel:
                 self.deadlines.at(limit, self.patience_due, passage.number)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -343,6 +343,18 @@
         self.assertEqual({line.answered()[0] for line in clients}, {503})
         self.assertEqual(self.finish_only(), 0)
 
+    def test_its_servers_hang_for_longer_than_sigkill_waits(self):
+        reads, writes = self.client(), self.client()
+        self.ask(reads, 'r')            # the limit is 6 s, and SIGKILL may come 3.7 s after SIGTERM
+        self.ask(writes, 'w', 'PUT', '/once/k', b'hi')
+        for name in 'co':
+            self.servers['c0' if name == 'c' else 'o'].take().request()
+        begun = time.monotonic()
+        self.signal(signal.SIGTERM)
+        self.assertEqual((reads.answered()[0], writes.answered()[0]), (503, 504))
+        self.assertEqual(self.finish_only(), 0)
+        self.assertLess(time.monotonic() - begun, 3.7)
+
 
 class Hops(Crossing):
     """Connections to servers that end, or say more, at the wrong instant."""
