A large request has its limit also while its body lies unread

Seen on loopback: a request of 100 kB, deadline 0.5 s, whose connection to the server does not come up: answered with a 408 after some 2.4 s; one whose server takes no more of its body: after more than 10 s. Cause: the time of a request whose body flows began with the last byte that the node had read (Node.body_came); while a connection or a server keeps its body waiting the node reads nothing, so the last byte may have come long before: taken, and answered too late.

Change: while the node keeps a body unread, its limit counts from the last bytes that came, as the system tells. At that limit it is answered: no hop of it can have left whole, so trying again is harmless.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -52,6 +52,7 @@
         self.flow, self.source = None, None     # a large answer on its way, and where it comes from
         self.until = 0                  # when a large answer has to have gone whole
         self.skips = False              # the rest of a large body is read and forgotten
+        self.held, self.timed = False, False    # whether this side keeps a large body unread; whether a deadline hangs for that
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -142,10 +143,19 @@
         self.since = now if self.phase == POURING else max(self.since, now - STAYS[HALF][0] // 2)
 
     def pause(self):
-        """Nothing more is read for now."""
+        """Nothing more is read for now. Its last byte may lie unread all the same, so its time runs."""
         self.transport.pauseProducing()
+        self.held = True
+        if not self.timed:
+            self.timed = True
+            self.front.deadlines.at(self.time_up(), self.front.held_due, self.number)
+
+    def time_up(self):
+        """When its limit is, should the bytes that came last be the last of its request."""
+        return self.front.clock() - unread_for(self.transport) + (self.errand.wait if self.errand else 0)
 
     def go_on(self):
+        self.held = False
         self.transport.resumeProducing()
 
     # --- a large answer -----------------------------------------------------------------------------------
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -437,6 +437,13 @@
             self.reply(errand, 504, 'out of time\n')
             self.router.client_gone(self.clock(), errand.tx)
 
+    def time_up(self, errand):
+        """The limit of a large request whose body is held unread: no hop of it can have left whole."""
+        errand.tx.limit = self.clock()
+        for passage in errand.passages[:]:
+            passage.trip.cut('unsent')
+        self.limit_due(errand.number)
+
     # --- hops -------------------------------------------------------------------------------------------
 
     def patience_due(self, number):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -153,6 +153,27 @@
         self.assertEqual(name, 'next')
         self.assertEqual(self.finish(), ['next'])
 
+    def in_time(self, client, begun, statuses):
+        self.assertIn(client.answered()[0], statuses)
+        self.assertLess(time.monotonic() - begun, 0.9)
+
+    def test_its_connection_does_not_come_up_within_its_limit(self):
+        client, begun = self.client(), time.monotonic()
+        self.ask(client, 'late', 'PUT', '/once/k', b'x' * 100_000, 'Req-Deadline: 0.5\r\n')
+        self.in_time(client, begun, (503,))             # it surely never left
+
+    def test_its_last_byte_lies_unread_while_the_server_takes_no_more(self):
+        self.servers['o'].let()
+        client, begun = self.client(), time.monotonic()
+        self.ask(client, 'late', 'PUT', '/once/k', b'', 'Content-Length: 8000000\r\nReq-Deadline: 0.5\r\n')
+        client.socket.setblocking(False)
+        try:
+            while client.socket.send(b'x' * 65_536):
+                pass                    # as much as the systems between take
+        except BlockingIOError:
+            client.socket.settimeout(PATIENCE)
+        self.in_time(client, time.monotonic(), (503,))
+
 
 class Watches(Crossing):
     """Lists that fall silent, break, or come oddly."""
