The door turns away only a request that lies there whole

Read in the code, asked by the issue: Door.turn_away read 64 KiB once, answered and closed on whoever had waited for too long by the module's word. With more unread, or more on its way (slow writers, bodies), the close became a reset that may take the answer back, and one that had said nothing yet was answered what it never asked.

Change: it looks first, and turns away only what is by its look one whole read, as the node itself does on a kept connection (one_read). All else is let in and read to its end. The test's request at the door was three bytes of one; it is a whole one now.

--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -361,7 +361,7 @@
         else:
             self.port = reactor.adoptStreamPort(given, AF_INET6 if ':' in host else AF_INET, self)
         self.port.numberAccepts = 1
-        guard(self.port, self.node.router.late, self.refusal, self.crowded)
+        guard(self.port, self.node.router.late, http.one_read, self.refusal, self.crowded)
         self.see_to_door()
         self.look()
 
@@ -372,8 +372,7 @@
     def too_late(self, came, data):
         """Whether these bytes, a whole request by their look, have waited for too long. Guards against a node that
         cannot keep up: reading what it can only refuse would cost it most of what serving does."""
-        return (self.node.router.late(self.clock() - came) and data.startswith(b'GET ')
-                and data.find(b'\r\n\r\n') == len(data) - 4)
+        return self.node.router.late(self.clock() - came) and http.one_read(data)
 
     def refusal(self, lasting=False):
         """What one is told whose request has waited at the door for too long."""
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -110,6 +110,11 @@
     return message
 
 
+def one_read(data):
+    """Whether these bytes are, by their look, one whole request for a read and nothing more."""
+    return data.startswith(b'GET ') and data.find(b'\r\n\r\n') == len(data) - 4
+
+
 class Chunks:
     """A chunked body being read."""
 
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -115,9 +115,10 @@
     them late too. Here one costs a few calls to the system."""
 
     MOST = 32                           # turned away in a row, until other sockets have their turn
+    LOOK = 16_384                       # bytes looked at of what lies unread on one
 
-    def __init__(self, listening, late, answer, crowded):
-        self.listening, self.late, self.answer, self.crowded = listening, late, answer, crowded
+    def __init__(self, listening, late, whole, answer, crowded):
+        self.listening, self.late, self.whole, self.answer, self.crowded = listening, late, whole, answer, crowded
 
     def __getattr__(self, name):
         return getattr(self.listening, name)
@@ -134,21 +135,26 @@
                 self.crowded()
                 raise BlockingIOError(EAGAIN, 'no descriptor') from None
             state, waited = tcp_info(came)
-            if state not in CLOSED and not self.late(waited):
+            if state in CLOSED:
+                came.close()            # nobody is there any more
+            elif not self.late(waited) or not self.turn_away(came):
                 return came, address
-            self.turn_away(came, state)
         raise BlockingIOError(EAGAIN, 'others first')
 
-    def turn_away(self, came, state):
-        """Answer, unless nobody is there any more. What has come is read first: closing on it would take the answer
-        back."""
+    def turn_away(self, came):
+        """Answer, if a request lies there whole and nothing more: closing on anything unread, or on what is still to come, would
+        take the answer back. Whether it was turned away; else it is let in."""
         try:
-            if state not in CLOSED:
-                came.recv(65_536, socket.MSG_DONTWAIT)
-                came.send(b''.join(self.answer()), socket.MSG_DONTWAIT)
+            if not self.whole(came.recv(self.LOOK, socket.MSG_PEEK | socket.MSG_DONTWAIT)):
+                return False
+            came.recv(self.LOOK, socket.MSG_DONTWAIT)
+            came.send(b''.join(self.answer()), socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False                # nothing lies there yet
         except OSError:
             pass                        # it went just now
         came.close()
+        return True
 
 
 def tcp_info(handle):
@@ -161,11 +167,11 @@
         return 0, 0
 
 
-def guard(port, late, answer, crowded):
-    """Put a Door before a port, which calls crowded() if there is no descriptor for the next, and let the system keep a new connection to itself until its first bytes come, or
-    for a second. Guards against connections by the hundreds that say nothing: they take no place."""
+def guard(port, late, whole, answer, crowded):
+    """Put a Door before a port, which calls crowded() if there is no descriptor for the next, and let the system keep a new
+    connection to itself until its first bytes come, or for a second. whole(bytes): whether they are one request. Guards against connections by the hundreds that say nothing: they take no place."""
     port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
-    port.socket = Door(port.socket, late, answer, crowded)
+    port.socket = Door(port.socket, late, whole, answer, crowded)
 
 
 def left(transport):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,6 +13,7 @@
 from lilacdyke.logic import Server
 from lilacdyke.net import front as front_module
 from lilacdyke.net.discovery import Entry, started
+from lilacdyke.net.http import one_read
 from lilacdyke.net.logs import KeyValue, Sparse
 from lilacdyke.net.node import DRAINING, SERVING, STARTING, STOPPED
 from lilacdyke.net.sockets import Door
@@ -323,15 +324,28 @@
     def test_the_door_turns_away_who_has_waited_for_long_and_lets_go_who_has_gone(self):
         wires = [Wire() for _ in range(4)]
         for wire, wire.state, wire.age in zip(wires, (1, 8, 1, 1), (300, 0, 0, 0)):
-            wire.unread = b'GET'
-        door = Door(Wire(), self.made.router.late, self.front.refusal, self.front.crowded)
+            wire.unread = b'GET /read/k HTTP/1.1\r\n\r\n'
+        door = self.door()
         door.listening.accept = lambda: (wires.pop(0), 'there')
         late, gone, fine = wires[:3]
         self.assertEqual((door.accept()[0], late.value()[:12], late.closed, gone.value(), gone.closed),
                          (fine, b'HTTP/1.1 503', True, b'', True))
 
+    def door(self):
+        return Door(Wire(), self.made.router.late, one_read, self.front.refusal, self.front.crowded)
+
+    def test_the_door_closes_on_nobody_whose_request_is_not_all_there(self):
+        read = b'GET /read/k HTTP/1.1\r\n\r\n'
+        for unread in (None, read[:9], read + b'GET', b'GET /read/k HTTP/1.1\r\nA: ' + b'x' * 20_000 + b'\r\n\r\n',
+                       b'PUT /once/k HTTP/1.1\r\nContent-Length: 2\r\n\r\nh'):
+            with self.subTest(unread=unread and unread[:30]):
+                door, wire = self.door(), Wire()
+                wire.state, wire.age, wire.unread = 1, 300, unread
+                door.listening.accept = lambda wire=wire: (wire, 'there')
+                self.assertEqual((door.accept()[0], wire.value(), wire.closed), (wire, b'', False))
+
     def test_a_door_without_a_descriptor_has_idle_ones_make_way_and_closes_nobody(self):
-        door = Door(Wire(), self.made.router.late, self.front.refusal, self.front.crowded)
+        door = self.door()
 
         def none_left():
             raise OSError(EMFILE, 'too many open files')
