Reads that may not be repeated are fetched too when a cache lacked their key

Cause: Router.step sent what is not idempotent to step_once before it looked at misses, and step_once knows caches only: after a miss the next cache was asked, which lacked the key too, until the hops were spent. A miss proves that nothing ran, so a fetch is no repeat.

Both new tests fail without it: "(False, 'send', False) != (False, 'send', True)".

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -216,13 +216,12 @@
             return self.give_up(now, tx)
         if tx.out:
             return self.step_waiting(now, tx)
-        if not tx.read:
-            return self.step_once(now, tx)
-        if tx.hops and now >= self.patience(tx) and tx.hops[-1].ran:
+        if tx.read and tx.hops and now >= self.patience(tx) and tx.hops[-1].ran:
             return self.give_up(now, tx)
-        if tx.missed and not tx.again:
-            return self.step_fetch(now, tx)
-        return self.step_read(now, tx, False)
+        once = tx.write or tx.limit is None or not tx.read and tx.hops and tx.hops[-1].ran
+        if tx.missed and not (tx.again or once):
+            return self.step_fetch(now, tx)     # of whatever effect: a miss had none
+        return self.step_read(now, tx, False) if tx.read else self.step_once(now, tx)
 
     def cancel(self, tx):
         """The loser of a race, or a hop whose client has gone, is not waited for."""
@@ -267,7 +266,8 @@
 
     def step_once(self, now, tx):
         """Writes and what must not run twice go once, and again only after proof that they did not run."""
-        server = self.origin if self.terms.aside and tx.write else self.pick(now, tx)
+        server = tx.again or (self.origin if self.terms.aside and tx.write else self.pick(now, tx))
+        tx.again = None
         decision = server and self.afford(now, tx) and self.send(now, tx, server, False)
         return decision or self.give_up(now, tx)
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -475,6 +475,33 @@
 
 
 class Origin(unittest.TestCase):
+    def test_what_may_not_be_repeated_is_fetched_too_where_a_cache_lacked_it(self):
+        for row in (KEPT, ONCE):
+            with self.subTest(row=row):
+                made = router(3, origin=True)
+                tx = taken(made, row)
+                _, hop, _ = made.decide(0)
+                made.hop_ended(10, hop, 'missing', 10, False, 0)
+                verb, fetch, _ = made.decide(10)
+                self.assertEqual((hop.server.origin, verb, fetch.server.origin), (False, 'send', True))
+                made.hop_ended(20, fetch, 'lost', 10, False, 0)
+                verbs = [decision[0] for decision in iter(lambda: made.decide(20), None)]
+                self.assertEqual(('send' in verbs, 'abandon' in verbs, len(tx.hops)),
+                                 (True, False, 3) if row == KEPT else (False, True, 2))
+
+    def test_and_waits_for_anothers_fetch_of_its_key(self):
+        made = router(3, origin=True)
+        both = taken(made, ONCE), taken(made, ONCE)
+        hops = [made.decide(0)[1], made.decide(0)[1]]
+        for hop in hops:
+            made.hop_ended(10, hop, 'missing', 10, False, 0)
+        fetch = made.decide(10)[1]
+        other = both[fetch.tx is both[0]]
+        self.assertEqual((fetch.server.origin, made.decide(10)[0], other.held), (True, 'wake', True))
+        made.hop_ended(20, fetch, 'committed', 10, True, 0)
+        again = made.decide(20)[1]
+        self.assertEqual((again.tx, again.server), (other, other.hops[0].server))
+
     def test_reads_of_one_key_share_a_fetch(self):
         made = router(2, origin=True)
         leader, follower = taken(made), taken(made)
