--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -475,8 +475,9 @@
                 client.reply(http.answer(400, lasting, 'turned away by the server\n'))
             elif answer.source:
                 client.pour(answer, minor)
-                if errand.tx.limit is not None:
-                    client.until = errand.tx.limit
+                limit = errand.tx.limit
+                client.until = self.last or 0 if limit is None else min(limit + TAIL, self.last or limit + TAIL)
+                if client.until:
                     self.deadlines.at(client.until, self.front.pour_due, client.number)
             else:
                 client.reply(http.relayed(answer, lasting))
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -28,6 +28,7 @@
 
     def __init__(self, socket_):
         self.socket, self.buffer, self.seen = socket_, b'', []
+        self.was_reset = False          # whether its end was no orderly one
         socket_.settimeout(PATIENCE)
 
     def say(self, data):
@@ -47,7 +48,7 @@
         try:
             data = self.socket.recv(65_536)
         except ConnectionError:
-            data = b''
+            data, self.was_reset = b'', True
         self.buffer += data
         return data
 
@@ -170,6 +171,7 @@
     """One node as a process, with servers c0, c1 (where there are two) and the origin, and an agent."""
 
     names, held, limits, watches = ('c0', 'o'), (), {}, True
+    memory = 192                        # MB that it may have
     settings = staticmethod(settings)
 
     def setUp(self):
@@ -214,6 +216,7 @@
 
     def page(self, agent):
         return page(listen='127.0.0.1:%d' % self.port, discovery=agent.address, settings=self.settings(**self.limits),
+                    limits={'cores': 1.0, 'memory_mb': self.memory, 'sockets': 1024},
                     known={'generation': 4, 'reset': True, 'instances': self.rows()})
 
     def write(self, agent):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 import os
 import select
 import signal
+import socket
 import time
 
 from .crossings import HEAD, PATIENCE, Crossing, Line, Stand, chunk, told
@@ -436,6 +437,51 @@
         self.assertEqual(client.answered()[0], 503)
         self.assertTrue(hop.ended())
 
+    def test_its_client_reads_late_and_the_system_holds_the_rest(self):
+        client = self.client()
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        self.ask(client, 'a', more='Connection: close\r\n')
+        hop = self.servers['c0'].take()
+        hop.request()
+        hop.answer(body=b'x' * 1_000_000)
+        time.sleep(2.0)                 # twice as long as a client may take to close
+        status, body = client.answered()
+        self.assertEqual((status, len(body)), (200, 1_000_000))
+
+
+class Flows(Crossing):
+    """Large answers that there is no memory to hold: they are passed on as they come."""
+
+    memory = 8
+
+    def test_an_answer_without_a_length_is_on_its_way_at_the_exit(self):
+        client = self.client()
+        client.say(b'GET /read/k HTTP/1.0\r\nHost: x\r\nReq-Id: a\r\n\r\n')
+        hop = self.servers['c0'].take()
+        hop.request()
+        hop.say(b'HTTP/1.1 200 X\r\nConnection: close\r\n\r\n' + b'x' * 100_000)
+        client.head()
+        begun = time.monotonic()
+        self.signal(signal.SIGTERM)
+        client.ended()
+        self.assertTrue(client.was_reset)       # an orderly end would say that this was all
+        self.assertEqual(self.running.wait(PATIENCE), 0)
+        self.assertLess(time.monotonic() - begun, 3.7)
+
+    def test_a_large_answer_comes_whole_just_after_the_limit(self):
+        client = self.client()
+        self.ask(client, 'a', more='Req-Deadline: 0.5\r\n')
+        hop = self.servers['c0'].take()
+        hop.request()
+        begun = time.monotonic()
+        hop.say(b'HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n' + b'x' * 90_000)
+        client.head()
+        time.sleep(max(0, begun + 0.58 - time.monotonic()))
+        hop.say(b'x' * 10_000)
+        while len(client.buffer) < 100_000 and client.more():
+            pass
+        self.assertEqual(len(client.buffer), 100_000)
+
     def test_a_large_answer_that_never_ends_is_broken_off_at_the_limit(self):
         client = self.client()
         self.ask(client, 'a', more='Req-Deadline: 0.5\r\n')
