--- a/lilacdyke/lab/judges.py
+++ b/lilacdyke/lab/judges.py
@@ -10,7 +10,8 @@
 from . import held
 
 COLD_SLACK, COLD_SPARE = 1.15, 2        # chance: over the budget by so much, and by so many transactions
-FORSAKEN = 300_000                      # after its client has left, nothing of a request is sent on so much later
+COLD_CHANCE = 2                         # nor by more than so many roots of the budget, in transactions, and as many besides
+FORSAKEN = 100_000                      # after its client has left, nothing of a request is sent on so much later
 NETWORK = frozenset(('cut', 'site_cut', 'delay', 'resets', 'dribble', 'deaf', 'vanish'))
 CROWDED = frozenset(('descriptors',))
 STILL = frozenset(('standstill',))
@@ -315,7 +316,19 @@
 def pushes(case):
     """What all nodes together sent to each fresh server, in any window, against what it could do."""
     found, rules = [], case.scenario.rules
-    window, warm = int(rules.fall_s * 1e6), rules.warm_s * 1e6
+    for name, came, started, end, capacity in cold_spells(case):
+        broken = over(came, started, end, capacity, rules)
+        if broken:
+            found.append(Broken('pushed', broken[0], '%s was sent %.1f times what it could do' % (name, broken[1])))
+    for row in case.by['server']:
+        if row[3] == 'overturned' and not row[9]:
+            found.append(Broken('pushed', row[1], '%s fell over' % row[2]))
+    return found + origin_pushed(case)
+
+
+def cold_spells(case):
+    """Each time that a server was cold: (name, all that came there, as (when, work), from, to, capacity)."""
+    warm = case.scenario.rules.warm_s * 1e6
     lives = defaultdict(list)           # server -> (started, capacity) by time
     for _, at, name, what, _, _, cores, speed, started, origin in case.by['server']:
         if what == 'up' and started and not origin:
@@ -325,20 +338,14 @@
         if row[3] in lives:
             arrivals[row[3]].append((row[1], row[8]))
     for name, spans in lives.items():
-        came = arrivals[name]
         for number, (started, capacity) in enumerate(spans):
             end = min(started + warm, spans[number + 1][0] if number + 1 < len(spans) else case.end)
-            broken = over(came, started, end, capacity, window, rules, warm)
-            if broken:
-                found.append(Broken('pushed', broken[0], '%s was sent %.1f times what it could do' % (name, broken[1])))
-    for row in case.by['server']:
-        if row[3] == 'overturned' and not row[9]:
-            found.append(Broken('pushed', row[1], '%s fell over' % row[2]))
-    return found + origin_pushed(case)
+            yield name, arrivals[name], started, end, capacity
 
 
-def over(came, started, end, capacity, window, rules, warm):
-    """The first window of a cold spell with too much work in it: (when, how many times), or None."""
+def windows(came, started, end, capacity, rules):
+    """Each window of a cold spell as one more call ends it: (when, work in it, its calls, this one's work, what the server could do)."""
+    window, warm = int(rules.fall_s * 1e6), rules.warm_s * 1e6
     load, first, last = 0, bisect_left(came, (started, 0)), bisect_right(came, (end, 0))
     tail = first
     for index in range(first, last):
@@ -348,8 +355,16 @@
             load -= came[tail][1]
             tail += 1
         part = rules.cold_from + (1 - rules.cold_from) * min(1, (at - started) / warm)
-        able = capacity * part * window
-        if load > COLD_SLACK * rules.fall_multiple * able + COLD_SPARE * max(work, load / (index - tail + 1)):
+        yield at, load, index - tail + 1, work, capacity * part * window
+
+
+def over(came, started, end, capacity, rules):
+    """The first window of a cold spell with too much work in it: (when, how many times), or None."""
+    for at, load, calls, work, able in windows(came, started, end, capacity, rules):
+        mean = load / calls
+        budget = rules.fall_multiple * able / mean
+        chance = min((COLD_SLACK - 1) * budget + COLD_SPARE * max(1, work / mean), COLD_CHANCE * (budget ** 0.5 + 1))
+        if load > (budget + chance) * mean:
             return at, load / able
     return None
 
--- a/lilacdyke/lab/measure.py
+++ b/lilacdyke/lab/measure.py
@@ -4,6 +4,7 @@
 
     python -m lilacdyke.lab.measure demand --nodes 5 --nodes 40
     python -m lilacdyke.lab.measure lowered --seeds 20
+    python -m lilacdyke.lab.measure cold --nodes 5 --nodes 25 --nodes 200
 """
 
 import time
@@ -12,8 +13,8 @@
 from msgspec.structs import replace
 
 from . import ground
-from .judges import Case, judge
-from .scenario import Bound, Caches, Clients, Event, Kind, Load, Origin, Planning, Profile, Scenario, check
+from .judges import COLD_CHANCE, Case, cold_spells, judge, windows
+from .scenario import Bound, Caches, Clients, Event, Kind, Load, Origin, Planning, Profile, Rules, Scenario, check
 
 LENGTH, ONE = 16.0, 6.0                 # seconds of a run, and when all clients turn to one node
 
@@ -96,5 +97,36 @@
     return (last - at) / 1e6
 
 
+@main.command()
+@click.option('--nodes', multiple=True, type=int, default=(5, 25, 200))
+@click.option('--seeds', default=3, show_default=True)
+@click.option('--multiple', default=3.0, show_default=True, help='of what a cold server can do, at which it falls over')
+def cold(nodes, seeds, multiple):
+    """What all nodes together send to cold servers in a window, against the budget N and the chance of 2 x root of N + 2; 1 is a fall."""
+    plain = [Event(at_s=4.0, kind='replace', count=3), Event(at_s=7.0, kind='crash', count=2, for_s=1.0)]
+    for count in nodes:
+        for name, events in (('even', []), ('a burst', [Event(at_s=4.5, kind='burst', for_s=8.0, size=1.6)]),
+                             ('at a third of the nodes, then at another', [
+                                 Event(at_s=1.0, kind='shift', what=list(range(-(-count // 3))), for_s=4.5),
+                                 Event(at_s=5.6, kind='shift', what=list(range(count // 2, count // 2 + -(-count // 3))), for_s=8.0)]),
+                             ('seven in ten restarted', [Event(at_s=4.2, kind='kill', count=max(1, 7 * count // 10), for_s=0.5)])):
+            most, budget, wrong = 0.0, 0.0, 0
+            for seed in range(1, seeds + 1):
+                given = check(Scenario(
+                    name='cold', seed=seed, length_s=14.0, nodes=count, kinds=[Kind(count=10, cores=4)], load=Load(rate=1_200.0, keys=4_000),
+                    profiles=[Profile(name='read', work_ms=15.0)], clients=Clients(retries=1),
+                    rules=Rules(fall_multiple=multiple, fall_s=1.5, cold_from=0.15, warm_s=8.0), events=[*plain, *events]))
+                rows, _, broken = played(given, seed)
+                wrong += sum(found.rule == 'pushed' for found in broken)
+                for _, came, *spell in cold_spells(Case(given, rows)):
+                    for _, load, calls, _, able in windows(came, *spell, given.rules):
+                        allowed = multiple * able * calls / load
+                        part = calls / (allowed + COLD_CHANCE * (allowed ** 0.5 + 1))
+                        if part > most:
+                            most, budget = part, allowed
+            click.echo('%3d nodes, %s: %.2f of what makes a fall, at a budget of %.0f; pushed: %d in %d runs' % (
+                count, name, most, budget, wrong, seeds))
+
+
 if __name__ == '__main__':
     main()
--- a/tests/lab/test_judges.py
+++ b/tests/lab/test_judges.py
@@ -74,7 +74,7 @@
         self.assertEqual(self.broken(UP, ask(), ('left', SECOND + 5, 'a')), [])
 
     def test_nothing_is_sent_on_for_long_after_its_client_left_though_the_node_stood_still(self):
-        for after, told in ((-10, []), (250_000, []), (310_000, ['forsaken'])):
+        for after, told in ((-10, []), (90_000, []), (110_000, ['forsaken']), (310_000, ['forsaken'])):
             with self.subTest(after=after):
                 rows = ask(), ('left', 2 * SECOND, 'a'), hop(at=2 * SECOND + after), ('fault', SECOND, 'standstill', '', 3 * SECOND)
                 self.assertEqual(self.broken(UP, *rows), told)
