No list of servers or processes is capped below 1,024

The new terms: up to 230 processes and some hundreds of servers, no cap below 1,024 on lists of either. Under it were: servers out by hand (256), budgets in one message and budgets kept count of (512 each, which is 170 servers with three limits at each; beyond it what was spent at a server was forgotten, and the limit let through more), links of processes that seek tasks (512), and those that wait for one task (64). Now 1,024, and 4,096 for budgets; a frame may hold 1 MiB for that, and buffers grow by need as before.

--- a/lilacdyke/known.py
+++ b/lilacdyke/known.py
@@ -13,7 +13,7 @@
 RACES, LOOKUPS = 16, 32  # the paper's windows
 MARGIN = 2              # hops that a server bears, and may have beyond its part, at the least
 START = 32.0            # hops out at one server before anything is known of it
-BANS = 256              # servers that are, or lately were, out by hand
+BANS = 1_024            # servers that are, or lately were, out by hand
 NO_WORD = (0, 0, 1, 0)  # of a fleet on a server: until when, the least and the most of its turns, its wait
 
 
--- a/lilacdyke/plan/frames.py
+++ b/lilacdyke/plan/frames.py
@@ -13,7 +13,7 @@
 from .leases import VERBS
 
 MAJOR, MINOR = 1, 2
-MOST = 262_144                          # bytes of one frame
+MOST = 1 << 20                          # bytes of one frame
 HEAD = Struct('>I')
 AMOUNT = 1 << 40                        # no grains, versions or spans beyond that
 NAME = 200                              # characters of a key or a life
--- a/lilacdyke/plan/leases.py
+++ b/lilacdyke/plan/leases.py
@@ -12,7 +12,7 @@
 
 from .ledger import longer, shorter
 
-TASKS, WAITING, LIVES = 256, 64, 1_024  # that a voter keeps count of
+TASKS, WAITING, LIVES = 1_024, 1_024, 1_024  # that a voter keeps count of
 BLOCK = 1_000                           # numbers that are written down at a time
 RENEWS = 4                              # in a lease
 TRY = 4                                 # a round waits for answers for this part of a lease
--- a/lilacdyke/plan/ledger.py
+++ b/lilacdyke/plan/ledger.py
@@ -21,7 +21,7 @@
 
 DRIFT = 20
 LIVES = 8                               # lives of one planner that a purse still remembers gifts to
-KEYS = 512                              # budgets in one message; the rest is not asked for
+KEYS = 4_096                            # budgets in one message; the rest is not asked for
 FORWARDERS = 4_096                      # that one planner serves
 LOOKS = 40                              # looks of a planner at all forwarders, in a lease
 
--- a/lilacdyke/plan/process.py
+++ b/lilacdyke/plan/process.py
@@ -26,7 +26,7 @@
 
 FIGURES = 10 * SECOND                   # between two lines of figures
 REPORT = 60 * SECOND                    # between two lines of the fleet's
-SEEKERS = 512                           # links of processes that seek tasks, beside forwarders'
+SEEKERS = 1_024                         # links of processes that seek tasks, beside forwarders'
 
 
 class Office:
--- a/lilacdyke/plan/shares.py
+++ b/lilacdyke/plan/shares.py
@@ -10,7 +10,7 @@
 
 BURST = 10                              # a bucket holds a tenth of a second
 FINE = SECOND * (DRIFT + 1)             # of a grain: a bucket loses nothing by being looked at often
-MOST_KEYS = 512                         # that are kept count of; servers that were not asked for the longest are forgotten
+MOST_KEYS = 4_096                       # that are kept count of; servers that were not asked for the longest are forgotten
 
 
 class Spent:
--- a/tests/plan/test_fleet.py
+++ b/tests/plan/test_fleet.py
@@ -152,6 +152,20 @@
         shares = Shares(0, fleet, self.purse, self.terms.profiles)
         self.assertEqual([shares.admits(0, self.once) for _ in range(50)], [None] * 50)
 
+    def test_what_was_spent_at_each_of_1024_servers_is_kept_count_of(self):
+        fleet = msgspec.structs.replace(self.fleet, limit=[limits.Limit(name='cold', what='cold', most=30.0),
+                                                           limits.Limit(name='links', what='links', most=2.0, floor=2.0)])
+        purse = Purse(-1_000_000, 'f', ['p0'], fleet.seat_parts(0), LEASE, fleet.gift, fleet.tails(), fleet.units())
+        shares, servers = Shares(0, fleet, purse, self.terms.profiles), [Server('s%d' % number, False) for number in range(1_024)]
+        for now in (0, 5_000):
+            for server in servers:
+                shares.allows(now, server, True)
+                shares.links(now, server)
+        for server in servers:
+            while shares.allows(5_000, server, True):
+                shares.sent(5_000, server, True)
+        self.assertEqual([shares.allows(5_000, server, True) for server in servers].count(True), 0)
+
     def test_what_a_cold_server_may_be_sent_is_a_limit_of_its_own_for_each(self):
         fleet = msgspec.structs.replace(self.fleet, limit=[limits.Limit(name='cold', what='cold', most=30.0)])
         purse = Purse(-1_000_000, 'f', ['p0'], fleet.seat_parts(0), LEASE, fleet.gift)
