Tests of the terms on start, size and descriptors, on the very program

- 64 descriptors, 192 idle clients, discovery away: never over 64, the watch back and a drain in force within 1 s of its return, who waits is answered, nothing sent to the server after it.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -6,6 +6,7 @@
 import json
 import os
 import queue
+import select
 import signal
 import socket
 import struct
@@ -79,6 +80,13 @@
         body, self.buffer = self.buffer[:length], self.buffer[length:]
         return int(head[9:12]), body
 
+    def ended_yet(self):
+        """Whether its end has come; what comes before that is kept."""
+        while select.select([self.socket], [], [], 0)[0]:
+            if not self.more():
+                return True
+        return False
+
     def ended(self):
         """Wait for its end."""
         while self.more():
@@ -104,9 +112,10 @@
 class Stand:
     """A listening socket that takes nobody by itself. held: connections to it do not come up until it lets them."""
 
-    def __init__(self, held=False):
+    def __init__(self, held=False, port=0):
         self.socket, self.lines, self.filler = socket.socket(), [], None
-        self.socket.bind(('127.0.0.1', 0))
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(('127.0.0.1', port))
         self.socket.listen(0 if held else 64)
         self.socket.settimeout(PATIENCE)
         self.port = self.socket.getsockname()[1]
@@ -171,7 +180,7 @@
     """One node as a process, with servers c0, c1 (where there are two) and the origin, and an agent."""
 
     names, held, limits, watches = ('c0', 'o'), (), {}, True
-    memory = 192                        # MB that it may have
+    memory, sockets = 192, 1024         # MB and descriptors that it may have
     settings = staticmethod(settings)
 
     def setUp(self):
@@ -216,7 +225,7 @@
 
     def page(self, agent):
         return page(listen='127.0.0.1:%d' % self.port, discovery=agent.address, settings=self.settings(**self.limits),
-                    limits={'cores': 1.0, 'memory_mb': self.memory, 'sockets': 1024},
+                    limits={'cores': 1.0, 'memory_mb': self.memory, 'sockets': self.sockets},
                     known={'generation': 4, 'reset': True, 'instances': self.rows()})
 
     def write(self, agent):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,7 @@
 """Two events that meet: each crossing of docs/design/crossings.md that needs sockets, forced on the very program."""
 
 import os
+import resource
 import select
 import signal
 import socket
@@ -268,6 +269,78 @@
         self.assertEqual(self.finish(), ['early'])
 
 
+class Large(Crossing):
+    """A fleet of 1,024 servers."""
+
+    watches = False
+
+    def rows(self):
+        return super().rows() + [entry('%s-%04d' % ('cache' * 24, number), zone='b' * 60, hostPort='127.0.0.1:%d' % (10_000 + number))
+                                 for number in range(1_022)]
+
+    def test_it_is_ready_in_time_without_discovery_and_takes_the_list_indented(self):
+        begun = time.monotonic()
+        status = None
+        while status != 200:
+            self.assertLess(time.monotonic() - begun, 5.0)      # its agent takes nobody
+            try:
+                line = self.client()
+                line.say(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+                status = line.answered()[0]
+            except ConnectionRefusedError:
+                time.sleep(0.02)
+        with open('/proc/%d/stat' % self.running.pid, encoding='ascii') as file:
+            spent = sum(map(int, file.read().rpartition(')')[2].split()[11:13])) / os.sysconf('SC_CLK_TCK')
+        self.assertLess(spent, 1.5)     # seconds of a core: ready within 10 s with a sixth of one
+        watch = self.agent.take()
+        while watch.ended_yet():        # those that were given up meanwhile
+            watch = self.agent.take()
+        self.assertIn(b'index=4', watch.head())
+        watch.say(HEAD)
+        begun = time.monotonic()
+        watch.say(chunk(told(5, *self.rows(), indent=4)))
+        self.assertIn('caches=1023', self.until('list'))
+        self.assertLess(time.monotonic() - begun, 2.0)
+        with open('/proc/%d/smaps_rollup' % self.running.pid, encoding='ascii') as file:
+            own = sum(int(line.split()[1]) for line in file if line.startswith('Private_'))
+        self.assertLess(own, 32 << 10)  # kB
+
+
+class Crowd(Crossing):
+    """Idle clients that fill the descriptors while discovery is down."""
+
+    sockets = 64
+
+    def test_the_watch_comes_back_the_drain_is_kept_and_who_waits_is_answered(self):
+        resource.prlimit(self.running.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
+        waits = self.client()
+        self.ask(waits, 'waits')
+        hop = self.servers['c0'].take()
+        hop.request()
+        port = self.agent.port
+        self.watch.close()
+        self.agent.socket.close()       # from here on dials are refused
+        idle = [self.client() for _ in range(3 * self.sockets)]
+        for line in idle[::2]:
+            line.say(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+        time.sleep(0.5)
+        self.assertLessEqual(len(os.listdir('/proc/%d/fd' % self.running.pid)), self.sockets)
+        self.agent = Stand(port=port)
+        begun = time.monotonic()
+        watch, _ = self.agent.watch()
+        watch.say(chunk(told(6, self.row('c0', lifecycle='DRAINING'), reset=False)))
+        self.assertIn('caches=0', self.until('list'))
+        self.assertLess(time.monotonic() - begun, 1.0)
+        hop.answer()
+        self.assertEqual(waits.answered(), (200, b'abc'))
+        for line in idle:
+            line.close()
+        late = self.client()
+        self.ask(late, 'late')
+        self.assertEqual(late.answered()[0], 503)
+        self.assertEqual(self.finish(), ['waits'])
+
+
 class Hangup(Crossing):
     """SIGHUP while the page is being read, before the node is there."""
 
