--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -197,6 +197,10 @@
     put(Discovery, 'open', open_)
 
 
+def asks_when_told_to(put, chance):
+    put(Discovery, 'retry', lambda self, turn: None)
+
+
 def wakeup_lost(put, chance):
     usual = Deadlines.at
     put(Deadlines, 'at', lambda self, when, call, number: usual(self, when, call, number) if chance() > 0.05 else None)
@@ -574,6 +578,19 @@
     return replace(crowd_cold(made), events=[Event(at_s=1.0, kind='suspend', count=2, for_s=1.0)])
 
 
+def unheard_where_asked(made):
+    """The same, where lists are asked for."""
+    made = unheard(made)
+    return replace(made, discovery=replace(made.discovery, mode='on_request'))
+
+
+def stumbling(made):
+    """Clients that leave while nodes stand still, again and again, for a fifth of a second."""
+    made = walking_out(made)
+    return replace(made, load=replace(made.load, rate=200.0),
+                   events=[Event(at_s=0.5 + 0.5 * number, kind='standstill', count=made.nodes, for_s=0.2) for number in range(14)])
+
+
 def out_by_hand(made):
     """Servers out by hand for most of a run, among slow ones."""
     return replace(made, events=[Event(at_s=0.5, kind='suspend', count=2, for_s=4.0),
@@ -640,6 +657,7 @@
     ('lost_is_never_ran', 'takes a lost hop for one that never ran', lost_is_never_ran, ('resets', 'halved')),
     ('left_forgotten', 'claims "never ran" after the last byte', left_forgotten, ('resets', 'halved')),
     ('leavers_served', 'sends on for clients that have left unread', leavers_served, (), walking_out),
+    ('leavers_served_soon', 'the same, after a fifth of a second', leavers_served, (), stumbling),
     ('answer_dropped', 'drops an answer', answer_dropped, ('slow',)),
     ('answer_doubled', 'answers twice', answer_doubled, ('slow',)),
     ('answers_mixed', 'mixes answers of two requests', answers_mixed, ('slow',)),
@@ -652,6 +670,7 @@
     ('descriptor_leaked', 'forgets a connection without closing it', descriptor_leaked, ('slow', 'hung', 'halved')),
     ('change_missed', 'misses a change of the list', change_missed, DRAINS),
     ('versions_skipped', 'asks from too late a version after its watch broke', versions_skipped, (), unheard),
+    ('asks_when_told_to', 'leaves it to the module when a lost watch is opened again', asks_when_told_to, (), unheard_where_asked),
     ('wakeup_lost', 'loses a wake-up', wakeup_lost, ('hung', 'slow')),
     ('limit_ignored', 'does not look at the limit', limit_ignored, ('hung', 'vanish', 'cut')),
     ('loser_kept', 'never cancels a loser', loser_kept, ('slow',)),
