Discovery that turns calls away is asked ever less; a call that waits its turn is waited for

Cause: a retry storm. Asked-for discovery serves calls in turn, of limited capacity; calls too many and calls given up keep it full.

Change: after 503 or 429 the backoff doubles from 0.75 s to 3 s; after all else it is as it was. Where lists are asked for a head is waited for 3 s. A call that hangs or trickles ends after 3 or 3.5 s, so that the sum from reachable to told is 4.5 s with answers at once, and under 6 s with answers that wait for 2.5 s, at a grace of 0.4 s.

Fails without it: "False is not true : 103" calls in 20 s; a call that waits 2.6 s is given up.

--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -17,12 +17,16 @@
 # What is told late adds up: a watch that hangs, one wait, one call that is answered at once. The sum stays under the 6 s after which a
 # change counts as told (docs/architecture.md).
 SILENCE = 30_000                        # a watch has a line every 2 s; with no byte for so long it is dead
-PARTIAL = 45_000                        # nor may bytes go on coming for longer with no whole line among them
-ANSWERED = 10_000                       # for its head: discovery is on this machine and answers at once
+PARTIAL = 35_000                        # nor may bytes go on coming for longer with no whole line among them
+ANSWERED = 10_000                       # for its head, where lists are pushed: the agent is on this machine and answers at once
+QUEUED = 30_000                         # where they are asked for: calls wait their turn, and one given up was all for nothing
 # Backoff between tries: the first and the longest, as parts of the time in which sends to a server that drains have to cease. Guards
 # against such sends as discovery comes back: what the agent has counts as told from then on, watch or none. Doubles.
 FIRST, MOST = 0.25, 0.625
 LEAST = 100                             # and the shortest, however soon sends have to cease; none is longer than a call may take to answer
+# Where it turned the call away it has too many: backoff doubles from a quarter of this on. Guards against a retry storm, in which a whole
+# fleet that asks again at once keeps it shut for all.
+TURNED_AWAY, WAYS = 30_000, (b'503', b'429')
 WORDS = {state: word for word, state in STATES.items()}
 MAX_LIST = 4 << 20                      # one list on the watch, in bytes
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')                 # a string in a list, which hides what is in it
@@ -71,6 +75,7 @@
         self.discovery, self.reader = discovery, Reader(ANSWER)
         self.number, self.chunks, self.line = None, None, bytearray()
         self.open, self.depth = bytearray(), 0      # what is here of an indented list; how deep it stands
+        self.declined = False           # whether discovery has too many callers
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -96,6 +101,7 @@
         message = self.reader.take_head()
         if message is None:
             return False
+        self.declined = message.parts[1] in WAYS
         if message.parts[1] != b'200' or not self.reader.chunks:
             raise BadMessage(400, 'no watch: %s' % message.parts[1].decode())
         self.chunks = Chunks(None)
@@ -140,7 +146,8 @@
         self.node = node
         self.pushed = not place.terms.watched   # else the module says when to ask first
         self.first, self.most = (max(LEAST, min(ANSWERED, int(place.stop_within * part))) for part in (FIRST, MOST))
-        self.version, self.failures = None, 0
+        self.within = ANSWERED if self.pushed else QUEUED
+        self.version, self.failures, self.declined = None, 0, 0     # failures: in a row; declined: of these, turned away
         self.watch, self.opening = None, None
         self.heard, self.whole = 0, 0   # when the watch last said something; when its last whole line came, or it was opened
         self.turn = 0                   # one more with each watch: a retry that another overtook is void
@@ -161,7 +168,7 @@
         if where == self.where:
             return False
         self.close()
-        self.where, self.failures = where, 0
+        self.where, self.failures, self.declined = where, 0, 0
         if self.turn:                   # else the start opens it
             self.open()
         return True
@@ -188,14 +195,14 @@
         self.opening = connect(self.reactor, self.where, self.watch)
         watch = self.watch
         self.opening.addErrback(lambda failure: self.lost(watch, 'no connection'))
-        self.deadlines.at(self.heard + ANSWERED, self.silent, watch.number)
+        self.deadlines.at(self.heard + self.within, self.silent, watch.number)
 
     def silent(self, number):
         """Guards against a peer that vanished without a word, while connecting as later, and one that trickles."""
         watch = self.table.get(number)
         if watch is None:
             return
-        due = min(self.heard + SILENCE, self.whole + PARTIAL) if watch.chunks else self.heard + ANSWERED
+        due = min(self.heard + SILENCE, self.whole + PARTIAL) if watch.chunks else self.heard + self.within
         if self.clock() >= due:
             self.lost(watch, 'silent')
         else:
@@ -204,7 +211,7 @@
     def told(self, lines):
         """A line was read: the node learns it at once."""
         self.node.listed(*lines[1:])
-        self.version, self.failures = lines[0], 0
+        self.version, self.failures, self.declined = lines[0], 0, 0
 
     def lost(self, watch, why):
         """The watch has ended; try again, ever later, with the list kept."""
@@ -215,7 +222,10 @@
         warn('watch lost', why=why, failures=self.failures, version=self.version)
         self.node.list_lost()
         # Also where lists are asked for: the module's own wait is meant for calls that cost, and these are answered on this machine.
+        self.declined += watch.declined
         wait = min(self.most, self.first << min(self.failures - 1, 8))
+        if watch.declined:
+            wait = min(TURNED_AWAY, TURNED_AWAY // 8 << min(self.declined, 8))
         self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.retry, self.turn)
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -23,6 +23,7 @@
 from .helpers import SETTINGS, Wire, asked, client, dialled, entry, grown, lost, node, page, refused, said, sent, starting
 
 WATCH = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+DECLINED = b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n'
 READY = 'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n'
 PUT = 'PUT /%s/k HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\nhi'
 
@@ -657,6 +658,24 @@
                     longest = max(longest, without)
                 self.assertTrue(1 <= longest <= 100 * within, longest)
 
+    def test_discovery_that_turns_calls_away_is_asked_ever_less_and_one_that_hangs_up_is_not(self):
+        for head, least, most in ((DECLINED, 8, 14), (b'HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n', 90, 240)):
+            made, calls = node(settings=grown(membershipMode='on_request')), 0
+            for _ in range(2_000):      # 20 s
+                if len(made.reactor.tcpClients) > calls:
+                    calls = len(made.reactor.tcpClients)
+                    dialled(made).protocol.dataReceived(head)
+                made.reactor.advance(0.01)
+            with self.subTest(head=head[:13]):
+                self.assertTrue(least <= calls <= most, calls)
+
+    def test_a_call_that_waits_its_turn_is_waited_for(self):
+        for mode, kept in (('pushed', False), ('on_request', True)):
+            made = node(settings=grown(membershipMode=mode))
+            wire = dialled(made)
+            made.reactor.advance(2.6)
+            self.assertEqual(not wire.aborted, kept)
+
     def test_whatever_call_failed_a_change_is_known_in_time(self):
         """From when discovery could be reached until the list is in force: whatever the calls before that came to, and the one under
         way then, which says nothing more, or trickles."""
@@ -677,11 +696,13 @@
             self.assertLess(made.clock(), reached + 100_000)
             if len(made.reactor.tcpClients) > calls:
                 calls = len(made.reactor.tcpClients)
-                how, trickling = chance.choice(('refused', 'no connection', 'silent', 'head', 'trickle')), None
+                how, trickling = chance.choice(('refused', 'no connection', 'silent', 'head', 'trickle', 'declined')), None
                 if made.clock() >= reached:
                     dialled(made).protocol.dataReceived(WATCH + change)
                 elif how == 'refused':
                     refused(made)
+                elif how == 'declined':
+                    dialled(made).protocol.dataReceived(DECLINED)
                 elif how != 'no connection':
                     wire = dialled(made)
                     if how != 'silent':
