A large answer that its server still gives is not cut off; holding it is taken back

Change: a large answer commits with its first bytes, as before, and is passed on. One that the client does not take has 10 s, as before. At the end of the process what is on its way is reset.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -19,8 +19,6 @@
 KEPT = 0.6                              # of the server's idle time, until an idle connection is closed
 SETTLED = 100                           # after an answer, until its connection is trusted with the next hop
 CROWDED = 3 * SETTLED                   # how long a connection rests where a server has no place for more
-# Large answers that are held until they are whole, as parts of the memory: all, and one.
-HOLDS, HOLD = 1 / 16, 1 / 128
 NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
 
 
@@ -80,7 +78,6 @@
         self.number, self.idle_until, self.timed = None, None, 0     # timed: when its deadline is; 0: none
         self.settled = 0                # when it may carry the next hop
         self.used = False               # whether it has carried one
-        self.holds = 0                  # bytes that count as held for the answer that comes
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -147,7 +144,7 @@
             answer = self.reader.take()
         if answer:
             self.answered(answer)
-        elif self.reader.large and not self.pool.caches.hold(self, self.reader.size):
+        elif self.reader.large:
             self.begin(self.reader.message)
 
     def answered(self, answer):
@@ -163,7 +160,7 @@
             self.close()
 
     def begin(self, answer):
-        """A large answer begins that there is no room to hold: it ends the hop, and if the client waits for it flows on from here."""
+        """A large answer begins: it ends the hop, and if the client waits for it flows on from here."""
         how = ending(answer)
         if how == 'committed':
             answer.source = self
@@ -211,7 +208,6 @@
         if self.flow:
             self.flow.stop()
             self.flow = None
-        self.pool.caches.let_go(self)
         trip, self.trip = self.trip, None
         if trip and trip.message.source:
             trip.message.source.put_down(self)
@@ -406,7 +402,6 @@
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
         self.budget = budget
-        self.spare, self.largest = int(place.memory * HOLDS), int(place.memory * HOLD)      # bytes
         self.broken, self.fault = broken, fault     # told of answers out of form, and of faults in here
         self.returned = returned        # told of a server that takes connections again, after it refused some
         self.pools, self.table, self.dialling = {}, Table(), Table()
@@ -450,19 +445,6 @@
             self.make_way()
         return self.open < self.budget
 
-    def hold(self, link, size):
-        """Whether there is room to hold so much of its answer until it is whole. Guards against answers that break off, or are not
-        whole at the limit, when their client has part of them: held, they are a hop like any other that ended so."""
-        more = size - link.holds
-        if size > self.largest or more > self.spare:
-            return False
-        link.holds, self.spare = size, self.spare - more
-        return True
-
-    def let_go(self, link):
-        """Nothing of its answer is held any more."""
-        link.holds, self.spare = 0, self.spare + link.holds
-
     def shrink(self, spare):
         """Another process of this node has the rest: what is idle goes, and little more is opened."""
         for link in list(self.resting.values()):
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -28,6 +28,7 @@
 CALM, BUSY, FULL = range(3)
 PACED = (HALF, POURING)                 # bytes that come or go give them time
 SLOW = 16_384                           # bytes of a body that give a client a second more for the rest of it
+STALLED = 20_000                        # of a large answer nothing has come for so long: beyond its limit no more is waited for
 LOOK = 1_000                            # between two looks at who has stayed for too long; a tenth while full
 AMPLE = 0.5                             # part of the budget from which a new connection has an idle one make way
 QUIET = 2_500                           # nobody has come for so long: nobody is on the way
@@ -50,7 +51,6 @@
         self.flows = None               # the request whose large body still comes
         self.link = None                # the connection that it goes to, once there is one
         self.flow, self.source = None, None     # a large answer on its way, and where it comes from
-        self.until = 0                  # when a large answer has to have gone whole
         self.skips = False              # the rest of a large body is read and forgotten
         self.held, self.timed = False, False    # whether this side keeps a large body unread; whether a deadline hangs for that
 
@@ -485,20 +485,27 @@
         self.deadlines.at(self.clock(), self.read_on, client.number)
 
     def pour_due(self, number_):
-        """The time of a large answer is up. Guards against one that never ends: its client has a limit like any other, and can
-        tell that it is not whole."""
+        """The time of a large answer is up, whose first bytes came in time. Guards against one of which no more comes: its client can
+        tell that it is not whole. What its server still gives goes on, as cutting it off would lose it."""
         client = self.table.get(number_)
-        if client and client.flow and self.clock() >= client.until:
-            source, client.source = client.source, None
-            source.drop()
-            client.broken_off()
-
-    def hasten(self, last):
-        """The process ends soon after that: what is on its way by then is broken off, as an exit would look like its end."""
-        for client in self.phases[POURING].values():
-            if not client.until or client.until > last:
-                client.until = last
-                self.deadlines.at(last, self.pour_due, client.number)
+        if client and client.flow:
+            if not client.flow.paused and self.clock() >= client.since + STALLED:
+                self.cut_off(client)
+            else:
+                self.deadlines.at(max(self.clock() + LOOK, client.since + STALLED), self.pour_due, number_)
+
+    def break_off(self, _):
+        """The process ends soon after: what is on its way is broken off, as an exit would look like its end."""
+        for client in list(self.phases[POURING].values()):
+            if client.flow:
+                self.cut_off(client)
+
+    @staticmethod
+    def cut_off(client):
+        """Give up a large answer."""
+        source, client.source = client.source, None
+        source.drop()
+        client.broken_off()
 
     def held_due(self, number_):
         """Guards against a large request whose last byte came while a server, or a connection to one, kept its body waiting: its client
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -190,15 +190,10 @@
         """Whether part of a message is here."""
         return self.message is not None or bool(self.buffer)
 
-    @property
-    def size(self):
-        """Bytes of the present message's body, as told or as far as they are here."""
-        return 0 if self.message is None else max(self.need, len(self.message.body))
-
     @property
     def large(self):
-        """Whether the present message's body is too large to be held whole without asking for room."""
-        return self.size > MAX_BODY
+        """Whether the present message's body is too large to be held whole."""
+        return self.message is not None and max(self.need, len(self.message.body)) > MAX_BODY
 
     @property
     def whole(self):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -31,7 +31,6 @@
 SPARE, LEAST = 32, 4                    # descriptors for all but clients and caches; what each has at least
 COMING = 5_000                          # after SIGTERM clients go on coming for less than this
 GRACE = 30_000                          # SIGKILL may come so long and a little more after SIGTERM, however long clients would wait
-TAIL = 4_000                            # a large answer on its way has this beyond its limit: 0.5 s after that it is lost, before only late
 RESTED = 2_500                          # idle so long, a connection is unlikely to be asked on while it closes
 FIGURES = 10 * SECOND                   # between two lines of figures
 
@@ -196,7 +195,7 @@
             self.last = since + min(self.front.slowest, GRACE) + COMING
             for errand in self.errands:
                 self.hasten(errand)
-            self.front.hasten(self.last)
+            self.deadlines.at(self.last, self.front.break_off, 0)
             self.deadlines.at(since + COMING, self.leave, since)
 
     def hasten(self, errand):
@@ -475,10 +474,8 @@
                 client.reply(http.answer(400, lasting, 'turned away by the server\n'))
             elif answer.source:
                 client.pour(answer, minor)
-                limit = errand.tx.limit
-                client.until = self.last or 0 if limit is None else min(limit + TAIL, self.last or limit + TAIL)
-                if client.until:
-                    self.deadlines.at(client.until, self.front.pour_due, client.number)
+                if errand.tx.limit is not None:
+                    self.deadlines.at(errand.tx.limit, self.front.pour_due, client.number)
             else:
                 client.reply(http.relayed(answer, lasting))
         note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
