--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -144,13 +144,14 @@
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.where, self.chance, self.table = place.discovery, chance, Table()
         self.node = node
-        self.pushed = not place.terms.watched   # else the module says when to ask first
+        self.pushed = not place.terms.watched   # else the module says when to ask; again it is asked here
         self.first, self.most = (max(LEAST, min(ANSWERED, int(place.stop_within * part))) for part in (FIRST, MOST))
         self.within = ANSWERED if self.pushed else QUEUED
         self.version, self.failures, self.declined = None, 0, 0     # failures: in a row; declined: of these, turned away
         self.watch, self.opening = None, None
         self.heard, self.whole = 0, 0   # when the watch last said something; when its last whole line came, or it was opened
         self.turn = 0                   # one more with each watch: a retry that another overtook is void
+        self.waits = False              # whether a retry is due
 
     def close(self):
         """End the watch, if there is one: whatever still comes of it finds that it is not the present one."""
@@ -184,11 +185,16 @@
         if turn == self.turn:
             self.open()
 
+    def ask(self):
+        """The module wants a watch: unless one is lost and its retry due, whose wait spares a discovery that many call."""
+        if not self.waits:
+            self.open()
+
     def open(self):
         """Start a watch unless there is one."""
         if self.watch:
             return
-        self.turn += 1
+        self.turn, self.waits = self.turn + 1, False
         self.watch = Watch(self)
         self.heard = self.whole = self.clock()
         self.watch.number = self.table.add(self.watch)
@@ -221,11 +227,11 @@
         self.failures += 1
         warn('watch lost', why=why, failures=self.failures, version=self.version)
         self.node.list_lost()
-        # Also where lists are asked for: the module's own wait is meant for calls that cost, and these are answered on this machine.
         self.declined += watch.declined
         wait = min(self.most, self.first << min(self.failures - 1, 8))
         if watch.declined:
             wait = min(TURNED_AWAY, TURNED_AWAY // 8 << min(self.declined, 8))
+        self.waits = True
         self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.retry, self.turn)
 
 
--- a/lilacdyke/net/front.py
+++ b/lilacdyke/net/front.py
@@ -51,6 +51,7 @@
         self.flows = None               # the request whose large body still comes
         self.link = None                # the connection that it goes to, once there is one
         self.flow, self.source = None, None     # a large answer on its way, and where it comes from
+        self.until = None               # the limit of the request whose large answer is on its way
         self.skips = False              # the rest of a large body is read and forgotten
         self.held, self.timed = False, False    # whether this side keeps a large body unread; whether a deadline hangs for that
 
@@ -488,7 +489,7 @@
         """The time of a large answer is up, whose first bytes came in time. Guards against one of which no more comes: its client can
         tell that it is not whole. What its server still gives goes on, as cutting it off would lose it."""
         client = self.table.get(number_)
-        if client and client.flow:
+        if client and client.flow and client.until is not None and self.clock() >= client.until:
             if not client.flow.paused and self.clock() >= client.since + STALLED:
                 self.cut_off(client)
             else:
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -473,9 +473,10 @@
             if how != 'committed':
                 client.reply(http.answer(400, lasting, 'turned away by the server\n'))
             elif answer.source:
+                client.until = errand.tx.limit
                 client.pour(answer, minor)
-                if errand.tx.limit is not None:
-                    self.deadlines.at(errand.tx.limit, self.front.pour_due, client.number)
+                if client.until is not None:
+                    self.deadlines.at(client.until, self.front.pour_due, client.number)
             else:
                 client.reply(http.relayed(answer, lasting))
         note = NOTES.get(answer.field(b'srv-cache'), 0) if answer else 0
@@ -608,7 +609,7 @@
 
     def do_watch(self):
         """Ask for the list's changes."""
-        self.discovery.open()
+        self.discovery.ask()
 
     def do_wake(self, when):
         """Let the module look again."""
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -147,12 +147,15 @@
         try:
             if not self.whole(came.recv(self.LOOK, socket.MSG_PEEK | socket.MSG_DONTWAIT)):
                 return False
-            came.recv(self.LOOK, socket.MSG_DONTWAIT)
-            came.send(b''.join(self.answer()), socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False                # nothing lies there yet
         except OSError:
-            pass                        # it went just now
+            pass                        # it went just now, as the next call finds
+        try:
+            came.recv(self.LOOK, socket.MSG_DONTWAIT)
+            came.send(b''.join(self.answer()), socket.MSG_DONTWAIT)
+        except OSError:
+            pass
         came.close()
         return True
 
@@ -169,7 +172,8 @@
 
 def guard(port, late, whole, answer, crowded):
     """Put a Door before a port, which calls crowded() if there is no descriptor for the next, and let the system keep a new
-    connection to itself until its first bytes come, or for a second. whole(bytes): whether they are one request. Guards against connections by the hundreds that say nothing: they take no place."""
+    connection to itself until its first bytes come, or for a second. whole(bytes): whether they are one request. Guards
+    against connections by the hundreds that say nothing: they take no place."""
     port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
     port.socket = Door(port.socket, late, whole, answer, crowded)
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -10,7 +10,7 @@
 
 from lilacdyke.net.front import HALF, RESTING
 
-from .helpers import asked, dialled, lost, node, refused, sent
+from .helpers import SETTINGS, asked, dialled, grown, lost, node, refused, sent
 from .test_net import Quiet, status
 from .test_upgrade import Processes
 
@@ -75,6 +75,19 @@
         made.reactor.pump([0.5] * 21)
         self.assertTrue(wire.aborted)
 
+    def test_a_second_one_on_a_connection_goes_by_its_own_limit(self):
+        made = node(settings=grown(profiles=[dict(row, hardLimitS=6.0) for row in SETTINGS['profiles']]))
+        wire, cache = sent(made)
+        for piece in (LARGE, b'x' * 100_000):
+            cache.protocol.dataReceived(piece)
+        made.reactor.pump([0.1] * 20)   # longer, and it would be asked to go
+        wire.protocol.dataReceived(b'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: second\r\n\r\n')
+        cache.protocol.dataReceived(LARGE + b'x')
+        made.reactor.pump([0.1] * 50)   # a second beyond the first one's limit; nothing came for 5 s
+        before = wire.aborted
+        made.reactor.pump([0.1] * 12)
+        self.assertEqual((before, wire.aborted), (False, True))
+
     def test_a_client_that_goes_ends_the_hop(self):
         made = node()
         wire, cache = sent(made)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -345,6 +345,13 @@
                 door.listening.accept = lambda wire=wire: (wire, 'there')
                 self.assertEqual((door.accept()[0], wire.value(), wire.closed), (wire, b'', False))
 
+    def test_one_that_takes_no_answer_is_not_let_in_without_its_request(self):
+        wires = [Wire(), Wire()]
+        wires[0].state, wires[0].age, wires[0].unread, wires[0].stuck = 1, 300, b'GET /read/k HTTP/1.1\r\n\r\n', True
+        door, late = self.door(), wires[0]
+        door.listening.accept = lambda: (wires.pop(0), 'there')
+        self.assertEqual((door.accept()[0] is late, late.closed), (False, True))
+
     def test_a_door_without_a_descriptor_has_idle_ones_make_way_and_closes_nobody(self):
         door = self.door()
 
