Hand-overs: SIGTERM at an heir that serves, forced under steady requests

Held: the heir drains and exits 0, the elder takes clients again, none of the steady requests is lost.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -362,6 +362,17 @@
         self.assertGreater(self.good, before + 20)
         self.assertLessEqual(len(self.bad), 8)          # what the killed one held is the clients'
 
+    def test_sigterm_at_the_heir_leaves_the_door_to_the_elder_and_loses_nothing(self):
+        threads = self.steady()
+        new, _ = self.begin()
+        new.send_signal(signal.SIGTERM)
+        self.assertEqual(new.wait(6), 0)
+        before = self.good
+        time.sleep(0.5)
+        self.halt(threads)
+        self.assertEqual((self.first.poll(), self.bad), (None, []))
+        self.assertGreater(self.good, before + 20)
+
     def test_a_stale_socket_and_a_silent_peer_mean_a_plain_start(self):
         self.first.kill()
         self.first.wait()
