The lab plays large answers and requests; two mutants that its judges catch

Bodies were of 60 kB at most there, so neither a long answer that is cut off nor a large request that waits could be seen.

--- a/lilacdyke/lab/judges.py
+++ b/lilacdyke/lab/judges.py
@@ -82,6 +82,7 @@
         asks[row[2]] = row
     for row in case.by['made']:
         made[row[3]].add(row[4])
+    begun = {row[2]: row[3] for row in case.by['begun']}        # a large answer is timed by its first bytes
     for kind in ('answer', 'left', 'cut'):
         for row in case.by[kind]:
             ends[row[2]].append(row)
@@ -106,6 +107,7 @@
         if kind == 'left':
             continue
         status, digest = answers[0][3:5]
+        when = begun.get(id_, when)
         if when > last and not case.troubled(STILL, at, last, node_number) and not client_apart(case, at, last):
             found.append(Broken('answered', when, '%s at %s answered %d ms late' % (id_, node, (when - last) // 1_000)))
         if status == 200 and digest not in made[id_]:
--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -201,6 +201,18 @@
     put(Discovery, 'retry', lambda self, turn: None)
 
 
+def cut_at_the_limit(put, chance):
+    def pour_due(self, number):
+        client = self.table.get(number)
+        if client and client.flow:
+            self.cut_off(client)
+    put(Front, 'pour_due', pour_due)
+
+
+def held_without_limit(put, chance):
+    put(Front, 'held_due', lambda self, number: None)
+
+
 def wakeup_lost(put, chance):
     usual = Deadlines.at
     put(Deadlines, 'at', lambda self, when, call, number: usual(self, when, call, number) if chance() > 0.05 else None)
@@ -591,6 +603,21 @@
                    events=[Event(at_s=0.5 + 0.5 * number, kind='standstill', count=made.nodes, for_s=0.2) for number in range(14)])
 
 
+def long_answers(made):
+    """Answers of 150 kB that take longer than their limit to come, from well before it."""
+    rows = [replace(p, goal_s=0.4, limit_s=0.8, work_ms=5.0) for p in made.profiles]
+    return replace(made, length_s=6.0, profiles=rows, tenants=[], events=[], clients=replace(made.clients, rude=0.0, leave=0.0, slow_read=0.0),
+                   caches=replace(made.caches, mode='aside', give_ms=900.0), load=replace(made.load, rate=30.0, value_bytes=150_000))
+
+
+def long_requests(made):
+    """Writes of 150 kB, to servers of which none takes a connection for a while."""
+    rows = [replace(p, goal_s=0.3, limit_s=0.6, work_ms=5.0) for p in made.profiles]
+    return replace(made, length_s=8.0, profiles=rows, tenants=[], clients=replace(made.clients, rude=0.0, leave=0.0, slow_read=0.0),
+                   caches=replace(made.caches, mode='through'), load=replace(made.load, rate=40.0, write_bytes=150_000),
+                   events=[Event(at_s=1.0 + 2.0 * number, kind='deaf', count=99, for_s=1.2) for number in range(3)])
+
+
 def out_by_hand(made):
     """Servers out by hand for most of a run, among slow ones."""
     return replace(made, events=[Event(at_s=0.5, kind='suspend', count=2, for_s=4.0),
@@ -671,6 +698,8 @@
     ('change_missed', 'misses a change of the list', change_missed, DRAINS),
     ('versions_skipped', 'asks from too late a version after its watch broke', versions_skipped, (), unheard),
     ('asks_when_told_to', 'leaves it to the module when a lost watch is opened again', asks_when_told_to, (), unheard_where_asked),
+    ('cut_at_the_limit', 'cuts off a large answer at its limit', cut_at_the_limit, (), long_answers),
+    ('held_without_limit', 'holds a large request for as long as nothing takes it', held_without_limit, (), long_requests),
     ('wakeup_lost', 'loses a wake-up', wakeup_lost, ('hung', 'slow')),
     ('limit_ignored', 'does not look at the limit', limit_ignored, ('hung', 'vanish', 'cut')),
     ('loser_kept', 'never cancels a loser', loser_kept, ('slow',)),
--- a/lilacdyke/lab/parts/clients.py
+++ b/lilacdyke/lab/parts/clients.py
@@ -11,6 +11,7 @@
 
 from .wire import Talker, digest, request
 
+LARGE = 65_536              # bytes of an answer from which its first ones are timed
 CROSSED = 100_000           # a connection that ends so soon after a request was written on it, kept until then, crossed it
 
 
@@ -87,6 +88,8 @@
             self.transport.abortConnection()
             return
         self.ending = fields.get('connection', '').lower() == 'close'
+        if len(body) > LARGE:
+            self.crowd.stage.see('begun', try_.id, begun)
         self.crowd.answered(self, try_, words, fields, body)
 
     def bad(self, err):
@@ -295,7 +298,10 @@
         self.again(try_.tx, 'refused' if try_.asked is None else 'failed', '')
 
     def gave_up(self, try_):
-        """No answer in time."""
+        """No answer in time; one that has begun is read to its end."""
+        if try_.seat is not None and try_.seat.parser.need > LARGE:
+            try_.timer = self.stage.later(300_000, self.gave_up, try_)
+            return
         seat, try_.seat = try_.seat, None
         self.quiet(try_)
         if seat is not None:
--- a/lilacdyke/lab/witness.py
+++ b/lilacdyke/lab/witness.py
@@ -13,6 +13,7 @@
     'ask': ('id', 'tx', 'node', 'profile', 'tenant', 'key', 'mark', 'begun', 'wait', 'attempt', 'fresh'),
     'again': ('id',),                           # the same once more: the node had closed between requests
     'answer': ('id', 'status', 'digest', 'after'),      # after: Retry-After, seconds
+    'begun': ('id', 'at'),                      # of a large answer, which comes next: when its first bytes came
     'left': ('id',),                            # the client went before its answer
     'cut': ('id',),                             # the connection ended with no whole answer
     'stray': ('node', 'why'),                   # bytes that nobody asked for
--- a/tests/lab/test_judges.py
+++ b/tests/lab/test_judges.py
@@ -86,6 +86,11 @@
         self.assertEqual(self.broken(UP, ask(), answer(status=504, at=3 * SECOND + 60_000)), ['answered'])
         self.assertEqual(self.broken(UP, ask(), answer(status=504, at=3 * SECOND + 40_000)), [])
 
+    def test_a_large_answer_is_timed_by_its_first_bytes(self):
+        for begun, told in ((3 * SECOND + 40_000, []), (3 * SECOND + 60_000, ['answered'])):
+            rows = ask(), made(), answer(at=5 * SECOND), ('begun', 5 * SECOND - 1, 'a', begun)
+            self.assertEqual(self.broken(UP, *rows), told)
+
     def test_served_with_what_was_made_for_another(self):
         self.assertEqual(self.broken(UP, ask(), made(id_='b'), answer()), ['answered'])
 
