--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -22,11 +22,11 @@
 QUEUED = 30_000                         # where they are asked for: calls wait their turn, and one given up was all for nothing
 # Backoff between tries: the first and the longest, as parts of the time in which sends to a server that drains have to cease. Guards
 # against such sends as discovery comes back: what the agent has counts as told from then on, watch or none. Doubles.
-FIRST, MOST = 0.25, 0.625
-LEAST = 100                             # and the shortest, however soon sends have to cease; none is longer than a call may take to answer
+BACKOFF = 0.25, 0.625
+BACKOFF_LEAST = 100                     # and the shortest, however soon sends have to cease; none is longer than a call may take to answer
 # Where it turned the call away it has too many: backoff doubles from a quarter of this on. Guards against a retry storm, in which a whole
 # fleet that asks again at once keeps it shut for all.
-TURNED_AWAY, WAYS = 30_000, (b'503', b'429')
+BACKOFF_TURNED_AWAY, TURNED_AWAY = 30_000, (b'503', b'429')
 WORDS = {state: word for word, state in STATES.items()}
 MAX_LIST = 4 << 20                      # one list on the watch, in bytes
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')                 # a string in a list, which hides what is in it
@@ -75,7 +75,7 @@
         self.discovery, self.reader = discovery, Reader(ANSWER)
         self.number, self.chunks, self.line = None, None, bytearray()
         self.open, self.depth = bytearray(), 0      # what is here of an indented list; how deep it stands
-        self.declined = False           # whether discovery has too many callers
+        self.turned_away = False        # whether discovery has too many callers
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -101,7 +101,7 @@
         message = self.reader.take_head()
         if message is None:
             return False
-        self.declined = message.parts[1] in WAYS
+        self.turned_away = message.parts[1] in TURNED_AWAY
         if message.parts[1] != b'200' or not self.reader.chunks:
             raise BadMessage(400, 'no watch: %s' % message.parts[1].decode())
         self.chunks = Chunks(None)
@@ -145,13 +145,13 @@
         self.where, self.chance, self.table = place.discovery, chance, Table()
         self.node = node
         self.pushed = not place.terms.watched   # else the module says when to ask; again it is asked here
-        self.first, self.most = (max(LEAST, min(ANSWERED, int(place.stop_within * part))) for part in (FIRST, MOST))
+        self.backoff, self.backoff_most = (max(BACKOFF_LEAST, min(ANSWERED, int(place.stop_within * part))) for part in BACKOFF)
         self.within = ANSWERED if self.pushed else QUEUED
-        self.version, self.failures, self.declined = None, 0, 0     # failures: in a row; declined: of these, turned away
+        self.version, self.failures, self.turned_away = None, 0, 0     # failures: in a row; turned_away: how many of them so
         self.watch, self.opening = None, None
         self.heard, self.whole = 0, 0   # when the watch last said something; when its last whole line came, or it was opened
         self.turn = 0                   # one more with each watch: a retry that another overtook is void
-        self.waits = False              # whether a retry is due
+        self.backing_off = False        # whether a retry is due
 
     def close(self):
         """End the watch, if there is one: whatever still comes of it finds that it is not the present one."""
@@ -169,7 +169,7 @@
         if where == self.where:
             return False
         self.close()
-        self.where, self.failures, self.declined = where, 0, 0
+        self.where, self.failures, self.turned_away = where, 0, 0
         if self.turn:                   # else the start opens it
             self.open()
         return True
@@ -187,14 +187,14 @@
 
     def ask(self):
         """The module wants a watch: unless one is lost and its retry due, whose wait spares a discovery that many call."""
-        if not self.waits:
+        if not self.backing_off:
             self.open()
 
     def open(self):
         """Start a watch unless there is one."""
         if self.watch:
             return
-        self.turn, self.waits = self.turn + 1, False
+        self.turn, self.backing_off = self.turn + 1, False
         self.watch = Watch(self)
         self.heard = self.whole = self.clock()
         self.watch.number = self.table.add(self.watch)
@@ -217,7 +217,7 @@
     def told(self, lines):
         """A line was read: the node learns it at once."""
         self.node.listed(*lines[1:])
-        self.version, self.failures, self.declined = lines[0], 0, 0
+        self.version, self.failures, self.turned_away = lines[0], 0, 0
 
     def lost(self, watch, why):
         """The watch has ended; try again, ever later, with the list kept."""
@@ -227,11 +227,11 @@
         self.failures += 1
         warn('watch lost', why=why, failures=self.failures, version=self.version)
         self.node.list_lost()
-        self.declined += watch.declined
-        wait = min(self.most, self.first << min(self.failures - 1, 8))
-        if watch.declined:
-            wait = min(TURNED_AWAY, TURNED_AWAY // 8 << min(self.declined, 8))
-        self.waits = True
+        self.turned_away += watch.turned_away
+        wait = min(self.backoff_most, self.backoff << min(self.failures - 1, 8))
+        if watch.turned_away:
+            wait = min(BACKOFF_TURNED_AWAY, BACKOFF_TURNED_AWAY // 8 << min(self.turned_away, 8))
+        self.backing_off = True
         self.deadlines.at(self.clock() + int(wait * (0.5 + self.chance() / 2)), self.retry, self.turn)
 
 
