--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -30,6 +30,7 @@
 STARTING, SERVING, AWAY, DRAINING, STOPPED = 'starting', 'serving', 'away', 'draining', 'stopped'
 SPARE, LEAST = 32, 4                    # descriptors for all but clients and caches; what each has at least
 COMING = 5_000                          # after SIGTERM clients go on coming for less than this
+FIRST_WORD = 10_000                     # so long clients wait at the door for discovery's first word
 GRACE = 30_000                          # SIGKILL may come so long and a little more after SIGTERM, however long clients would wait
 RESTED = 2_500                          # idle so long, a connection is unlikely to be asked on while it closes
 FIGURES = 10 * SECOND                   # between two lines of figures
@@ -142,8 +143,13 @@
         if self.discovery.pushed:
             self.discovery.open()
         self.settle()
+        self.deadlines.at(self.clock() + FIRST_WORD, self.no_word, 0)
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
 
+    def no_word(self, _):
+        """Guards against clients that wait at the door until their time is up: a call to discovery may wait its turn for longer."""
+        self.serve()
+
     def serve(self):
         """Let clients in, from now on."""
         if self.phase != STARTING:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -831,6 +831,16 @@
         refused(away)
         self.assertEqual((silent.phase, away.phase), (SERVING, SERVING))
 
+    def test_nor_does_a_call_that_waits_its_turn(self):
+        for mode in ('pushed', 'on_request'):
+            with self.subTest(mode=mode):
+                made = starting(settings=grown(membershipMode=mode))
+                dialled(made)
+                made.reactor.advance(0.95)
+                before = made.phase
+                made.reactor.advance(0.1)
+                self.assertEqual((before, made.phase), (STARTING, SERVING))
+
     def test_sighup_before_discovery_has_spoken_moves_the_watch(self):
         made = starting()
         with tempfile.NamedTemporaryFile('w', suffix='.json') as file:
