Log lines on single requests, attempts and closed connections, with ids and reasons

Cause: the incident's logs could not tell which requests were open, why attempts ended, why connections closed or which bound refused a request; nothing carried a request's id.

The module names the reason of a refusal and each attempt keeps its ending; no decision changes.

--- a/lilacdyke/__main__.py
+++ b/lilacdyke/__main__.py
@@ -105,8 +105,16 @@
     '--fleet', type=click.Path(), help='The fleet file, where this node is one of a fleet with planners.'
 )
 @click.option('--changes', type=click.Path(), help='The changes file, where changes are passed to this node.')
+@click.option(
+    '--log-requests',
+    'lines_per_second',
+    envvar='EDGE_LOG_REQUESTS',
+    type=click.IntRange(0),
+    default=0,
+    help='Log single requests, attempts and connections with their ids, at most so many lines a second.',
+)
 @log_level
-def serve(config, fleet, changes, log_level):
+def serve(config, fleet, changes, lines_per_second, log_level):
     """Run one node until SIGTERM has drained it."""
     from .net import logs, node
 
@@ -116,7 +124,7 @@
     place = with_operator(read(config))
     fleet = in_fleet(place, fleet) if fleet else None
     changes = changes_file(place, changes) if changes else None
-    sys.exit(node.serve(place, config, fleet, early, changes))
+    sys.exit(node.serve(place, config, fleet, early, changes, lines_per_second))
 
 
 @main.command()
--- a/lilacdyke/gate.py
+++ b/lilacdyke/gate.py
@@ -10,13 +10,14 @@
 class Hop:
     """One attempt of a transaction at a server."""
 
-    __slots__ = ('tx', 'server', 'index', 'sent', 'out', 'copy', 'ran', 'failed', 'dropped', 'weight')
+    __slots__ = ('tx', 'server', 'index', 'sent', 'out', 'copy', 'ran', 'failed', 'dropped', 'weight', 'how')
 
     def __init__(self, tx, server, now, copy):
         self.tx, self.server, self.sent, self.copy = tx, server, now, copy
         self.index = len(tx.hops)
         self.weight = 0 if tx.limit is None else 1      # of the server's hops out; 0: its body still comes
         self.out, self.ran, self.failed, self.dropped = True, True, False, False    # ran: may have
+        self.how = None     # its ending, once it has one
 
 
 class Tx:
@@ -24,7 +25,7 @@
 
     __slots__ = ('ref', 'profile', 'key', 'mark', 'taken', 'limit', 'write', 'read', 'hops', 'out',
                  'done', 'rank', 'next', 'delay', 'missed', 'held', 'again', 'copied', 'queued',
-                 'twice', 'spent', 'known', 'refused')
+                 'twice', 'spent', 'known', 'refused', 'why')
 
     def __init__(self, profile, key, mark, now, limit, write):
         self.ref = None         # the host's own mark
@@ -41,6 +42,7 @@
         self.held = False       # waits for another's fetch, or for a place to fetch
         self.again = None       # the cache to ask again after another's fetch
         self.copied, self.queued, self.refused = False, False, None     # refused: over a limit of the fleet
+        self.why = None         # why it was given up, for the host's log
 
 
 class Gate(Known):
--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -201,11 +201,11 @@
 def descriptor_leaked(put, chance):
     usual = Link.close
 
-    def close(self):
+    def close(self, why):
         if self.transport is not None and self.left and chance() < 0.5:
             self.pool.forget(self)
         else:
-            usual(self)
+            usual(self, why)
 
     put(Link, 'close', close)
 
@@ -277,8 +277,8 @@
 def always_harmless(put, chance):
     usual = Router.give_up
 
-    def give_up(self, now, tx):
-        return ('roll_back',) + (usual(self, now, tx)[1], self.hint)
+    def give_up(self, now, tx, why=None):
+        return ('roll_back',) + (usual(self, now, tx, why)[1], self.hint)
 
     put(Router, 'give_up', give_up)
 
--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -109,7 +109,7 @@
         tx, server = hop.tx, hop.server
         hop.out, tx.out = False, tx.out - 1
         self.count_out(server, -hop.weight)
-        hop.ran, hop.failed = how not in NEVER_RAN, how == 'error'
+        hop.ran, hop.failed, hop.how = how not in NEVER_RAN, how == 'error', how
         if how in ('committed', 'missing') or how == 'error' and server.origin:
             self.answered(now, hop, lasted, how, note)
         elif how == 'error':
@@ -208,16 +208,16 @@
         if tx.done:
             return self.cancel(tx)
         if self.over(now, tx):
-            return self.give_up(now, tx) if not tx.out else None
+            return self.give_up(now, tx, 'time is up') if not tx.out else None
         if tx.held:
-            return self.give_up(now, tx) if now >= self.patience(tx) else None
+            return self.give_up(now, tx, 'waited for a fetch') if now >= self.patience(tx) else None
         self.survey(now)
         if not tx.hops and (tx.refused or self.late(now - tx.taken)):
-            return self.give_up(now, tx)
+            return self.give_up(now, tx, 'limit of the fleet' if tx.refused else 'node is behind')
         if tx.out:
             return self.step_waiting(now, tx)
         if tx.read and tx.hops and now >= self.patience(tx) and tx.hops[-1].ran:
-            return self.give_up(now, tx)
+            return self.give_up(now, tx, 'late for another attempt')
         once = tx.write or tx.limit is None or not tx.read and tx.hops and tx.hops[-1].ran
         if tx.missed and not (tx.again or once):
             return self.step_fetch(now, tx)     # of whatever effect: a miss had none
@@ -245,7 +245,7 @@
     def step_read(self, now, tx, copy):
         """Send to the best-ranked cache not yet tried; a copy's absence is no reason to give up."""
         if not (copy or tx.again or self.afford(now, tx)):
-            return self.give_up(now, tx)
+            return self.give_up(now, tx, 'no budget for another attempt')
         server = tx.again or self.pick(now, tx)
         tx.again = decision = None
         spare = 1 if self.terms.aside else 0        # a miss needs one more hop, to the origin
@@ -253,7 +253,7 @@
             decision = self.send(now, tx, server, copy)
         if not decision:
             tx.next = None
-            return None if copy else self.give_up(now, tx)
+            return None if copy else self.give_up(now, tx, 'no server may be asked')
         if copy:
             tx.delay *= 2
             tx.hops[0].server.pace.alone = 0
@@ -269,7 +269,7 @@
         server = tx.again or (self.origin if self.terms.aside and tx.write else self.pick(now, tx))
         tx.again = None
         decision = server and self.afford(now, tx) and self.send(now, tx, server, False)
-        return decision or self.give_up(now, tx)
+        return decision or self.give_up(now, tx, 'no server may be asked')
 
     def step_fetch(self, now, tx):
         """Ask the origin for what a cache lacked: one fetch a key, and no more out than the origin bears."""
@@ -279,17 +279,17 @@
             self.followers.setdefault(tx.key, []).append(tx)
             return self.hold(tx)
         if not self.origin or not self.welcome(now, tx, self.origin, self.chance()):
-            return self.give_up(now, tx)
+            return self.give_up(now, tx, 'origin is slow')
         if self.origin.out >= self.origin.bear:
             mean = self.fetches.spread()[0] or self.goal // 4
             if now + mean * (1 + (len(self.queue) + 1) / self.origin.bear) > self.patience(tx):
-                return self.give_up(now, tx)
+                return self.give_up(now, tx, 'origin is full')
             self.queue.append(tx)
             tx.queued = True
             return self.hold(tx)
         decision = self.send(now, tx, self.origin, False)
         if not decision:
-            return self.give_up(now, tx)
+            return self.give_up(now, tx, 'origin may not be asked')
         if tx.key is not None and leader is None:
             self.fetching[tx.key] = tx
         return decision
@@ -375,8 +375,10 @@
         turn = int(self.chance() * wide) if wide > 1 else 0
         tx.rank[:wide] = tx.rank[turn:wide] + tx.rank[:turn]
 
-    def give_up(self, now, tx):
-        """The one place that gives a final answer: a roll-back where trying again is harmless."""
+    def give_up(self, now, tx, why=None):
+        """The one place that gives a final answer: a roll-back where trying again is harmless. why: for the
+        host's log."""
+        tx.why = why
         effect = tx.profile.effect
         ran = [hop for hop in tx.hops if hop.ran]
         self.finish(now, tx)
--- a/lilacdyke/net/bodies.py
+++ b/lilacdyke/net/bodies.py
@@ -135,6 +135,7 @@
         self.client.download = None
         self.flow.stop()
         self.client.listener.node.count('broken_off')
+        self.client.closed_for = 'answer broken off'
         self.client.transport.abortConnection()
 
     def cut_off(self):
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -34,6 +34,11 @@
     return 'rejected' if status.startswith(b'4') else 'error'
 
 
+def reason_text(failure):
+    """Why a connection ended or never came up, as Twisted's failure tells it."""
+    return 'unknown' if failure is None else '%s: %s' % (failure.type.__name__, failure.value)
+
+
 class Exchange:
     """One hop under way: the client's request, until when it is waited for, and where it is."""
 
@@ -88,6 +93,7 @@
         self.number, self.idle_until, self.timed = None, None, 0  # timed: when its deadline is; 0: none
         self.settled = 0  # when it may carry the next hop
         self.used = False  # whether it has carried one
+        self.closed_for = None  # why this side closed it; None: it did not
         self.first_piece, self.last_piece = None, 0  # of a held answer of no told length: when they came
 
     def connectionMade(self):
@@ -134,7 +140,7 @@
 
     def dataReceived(self, data):
         if not self.exchange and not self.sink:
-            self.close()
+            self.close('bytes that nobody asked for')
             return
         try:
             self.reader.feed(data)
@@ -148,7 +154,7 @@
                 self.cut_off()
             else:
                 self.finish('spoilt')
-            self.close()
+            self.close('answer out of form')
 
     def read(self):
         """The answer, if it is here, or the beginning of a large one."""
@@ -200,7 +206,7 @@
             self.pool.rest(self)
         self.finish(how, answer)
         if not kept:
-            self.close()
+            self.close('the answer was its last')
 
     def begin(self, answer):
         """A large answer begins: it ends the hop, and if the client waits for it flows on from here."""
@@ -210,7 +216,7 @@
             self.transport.bufferSize = PIECE
         self.finish(how, answer)
         if not self.sink:
-            self.close()
+            self.close('nobody reads the large answer')
 
     def stream(self):
         """What has come of a large answer goes on."""
@@ -226,7 +232,7 @@
                 self.transport.resumeProducing()
                 self.pool.rest(self)
             else:
-                self.close()
+                self.close('the answer was its last')
 
     def cut_off(self):
         """A large answer will not be whole: its client is shown that."""
@@ -244,7 +250,7 @@
     def drop(self):
         """Nobody reads the large answer any more."""
         self.sink = None
-        self.close()
+        self.close('nobody reads the large answer')
 
     def put_down(self):
         """Nothing is carried any more; the hop that was."""
@@ -272,11 +278,13 @@
     def give_up(self):
         """The hop is not waited for."""
         self.put_down()
-        self.close()
+        self.close('attempt not waited for')
 
-    def close(self):
+    def close(self, why):
         """End the connection at once; what was not sent is not. Its place counts as free from here on, as
-        another hop may wait for that: the descriptor itself goes within a turn of the reactor."""
+        another hop may wait for that: the descriptor itself goes within a turn of the reactor. why: for the
+        log."""
+        self.closed_for = self.closed_for or why
         self.pool.forget(self)
         if self.left:
             self.transport.loseConnection()
@@ -285,6 +293,11 @@
 
     def connectionLost(self, reason=None):
         self.pool.forget(self)
+        self.pool.caches.events.say(
+            'server connection closed',
+            server=self.pool.server.name,
+            why=self.closed_for or 'other side: %s' % reason_text(reason),
+        )
         if reason is not None and reason.check(ConnectionDone):
             self.ended()
         if self.sink:
@@ -363,7 +376,9 @@
             self.refused = False
             self.caches.returned(self.server)
         if link.address != self.address:
-            link.close()  # the server moved while it came up: this is not the way there any more
+            link.close(
+                'server moved'
+            )  # the server moved while it came up: this is not the way there any more
             self.without('unsent')
         else:
             self.offer(link)
@@ -392,6 +407,9 @@
         self.caches.dialling.remove(number)
         self.forget(link)
         error = getattr(failure.value, 'osError', None)
+        self.caches.events.say(
+            'connect failed', server=self.server.name, why=reason_text(failure), errno=error
+        )
         self.refused = self.refused or error == ECONNREFUSED
         self.without('unsent' if error in (EMFILE, ENFILE) else 'unreachable')
 
@@ -399,7 +417,7 @@
         """A connection is free. Guards against servers that close one right after an answer, or send more
         than the answer: that shows within a moment, and a hop sent meanwhile would be lost to it."""
         if self.server.state != 'ready' or link.address != self.address:
-            link.close()
+            link.close('server takes nothing new')
             return
         link.settled = self.caches.clock() + SETTLED
         self.resting.append(link)
@@ -417,7 +435,7 @@
         self.leave(link)
         if quiet(link.transport):
             return True
-        link.close()
+        link.close('ended while idle')
         return False
 
     def leave(self, link):
@@ -436,13 +454,13 @@
     def close_idle(self):
         """End the connections that carry nothing."""
         for link in self.resting[:]:
-            link.close()
+            link.close('server takes nothing new')
 
 
 class Caches:
     """All connections to servers, within a budget of descriptors."""
 
-    def __init__(self, reactor, deadlines, clock, place, budget, broken, fault, returned):
+    def __init__(self, reactor, deadlines, clock, place, budget, broken, fault, returned, events):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
         self.budget = budget
@@ -450,6 +468,7 @@
         self.returned = returned  # told of a server that takes connections again, after it refused some
         self.pools, self.table, self.dialling = {}, Table(), Table()
         self.resting = {}  # idle connections by number, the longest idle first
+        self.events = events  # lines on single connections (events.py)
         self.shares = None  # what the fleet lets this node spend, where there is one
 
     @property
@@ -494,19 +513,19 @@
     def shrink(self, spare):
         """Another process of this node has the rest: what is idle goes, and little more is opened."""
         for link in list(self.resting.values()):
-            link.close()
+            link.close('another process has its place')
         self.budget = self.open + spare
 
     def trim(self, over):
         """Close idle connections of which there are too many: over(server) tells how many."""
         for pool in self.pools.values():
             for link in pool.resting[: max(0, over(pool.server))]:
-                link.close()
+                link.close('too many idle')
 
     def make_way(self):
         """The longest idle connection goes, if there is one."""
         if self.resting:
-            next(iter(self.resting.values())).close()
+            next(iter(self.resting.values())).close('made way')
 
     def rest(self, link):
         """Note an idle connection and until when it is kept: well before the server ends it, and hardly at
@@ -532,7 +551,7 @@
             link.timed = 0
         if number in self.resting:
             if self.clock() >= link.idle_until:
-                link.close()
+                link.close('idle')
             else:
                 self.time(link)
 
--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -36,6 +36,7 @@
         self.discards_body = False  # the rest of a large body is read and forgotten
         self.discarded = 0  # bytes read and forgotten since the last answer
         self.spared = False  # whether it has been let be, overdue, as bytes lay unread
+        self.closed_for = None  # why this side closes it; None: it does not
 
     # --- bytes come -------------------------------------------------------------------------------------
 
@@ -63,6 +64,12 @@
     def connectionLost(self, reason=None):
         active, self.active = self.active, None
         download, self.download = self.download, None
+        self.listener.events.say(
+            'client connection closed',
+            active and active.name,
+            phase=self.phase,
+            why=self.closed_for or 'other side',
+        )
         self.listener.closed(self)
         if download:
             download.source.drop()
@@ -162,7 +169,7 @@
 
     def refuse(self, status, text):
         """The request cannot be read: what follows it cannot either."""
-        self.lasting = False
+        self.lasting, self.closed_for = False, '%d: %s' % (status, text)
         self.reply(http.answer(status, False, text + '\n'))
 
     def reply(self, pieces):
@@ -203,17 +210,20 @@
 
     def see_off(self):
         """The client was found to have gone: its request is not sent on."""
+        self.closed_for = 'client had gone'
         self.give_up_request()
         self.transport.abortConnection()
 
     def end(self):
         """Close once the last answer is written. The client is let close first, for a while: ending with
         bytes unread would reset the connection, and with it the answer."""
+        self.closed_for = self.closed_for or 'the answer was its last'
         self.listener.put(self, PARTING)
         self.transport.loseWriteConnection()
 
     def part(self):
         """Close between requests. One that crosses this is reset unread, and the client sends it anew."""
+        self.closed_for = 'idle'
         self.listener.put(self, PARTING)
         self.listener.parted = self.listener.clock()
         self.transport.loseConnection()
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -27,9 +27,10 @@
 
     noisy = False
 
-    def __init__(self, node, deadlines, clock, terms, budget):
+    def __init__(self, node, deadlines, clock, terms, budget, events):
         self.node, self.deadlines, self.clock = node, deadlines, clock
         self.terms, self.table, self.budget = terms, Table(), budget
+        self.events = events  # lines on single connections (events.py)
         self.slowest = max(profile.hard for profile in terms.profiles)
         self.profiles = {p.name.encode(): row for row, p in enumerate(terms.profiles)}
         self.tenants = {t.name.encode() for t in terms.tenants}
@@ -62,6 +63,7 @@
     def refusal(self, lasting=False):
         """What one is told whose request has waited at the door for too long."""
         self.node.count('turned_away')
+        self.events.say('request refused', why='waited too long at the door')
         return self.node.refusal(lasting and not self.node.leaving(), self.node.router.hint)
 
     def put(self, client, phase, since=None):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -20,6 +20,7 @@
 from . import http
 from .caches import NOTES, Caches
 from .discovery import Discovery, read_list, started
+from .events import EventLog
 from .listener import Listener
 from .logs import LOG, say, warn
 from .sockets import Reactor, unread_for
@@ -36,6 +37,7 @@
 HEAD_START = 4  # of a request's time the last part, 1 to this, is kept for passing on an answer held in part
 COMING_PART = 16  # for such a part of its time an answer must have come piece by piece
 FIGURES = 10 * SECOND  # between two lines of figures
+MILLISECOND = SECOND // 1_000
 
 
 class ActiveRequest:
@@ -66,7 +68,7 @@
 class Node:
     """One node from start to exit."""
 
-    def __init__(self, place, reactor, system=System):
+    def __init__(self, place, reactor, system=System, lines_per_second=0):
         self.place, self.reactor, self.system, self.elapsed = place, reactor, system, system.elapsed
         self.phase = STARTING
         self.zero = self.elapsed() - 1  # the module's clock starts at one second
@@ -77,10 +79,19 @@
         self.active_requests, self.attempts = Table(), Table()
         self.ids = set()  # what clients call the transactions that are open
         self.deadlines = Deadlines(self.clock, reactor.callLater)
+        self.events = EventLog(self.clock, lines_per_second)
         budget = self.part(self.descriptors() - SPARE)
-        self.listener = Listener(self, self.deadlines, self.clock, place.terms, budget)
+        self.listener = Listener(self, self.deadlines, self.clock, place.terms, budget, self.events)
         self.caches = Caches(
-            reactor, self.deadlines, self.clock, place, budget, self.broken, self.fault, self.returned
+            reactor,
+            self.deadlines,
+            self.clock,
+            place,
+            budget,
+            self.broken,
+            self.fault,
+            self.returned,
+            self.events,
         )
         self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self)
         self.desk = None  # operators' door
@@ -399,6 +410,7 @@
         active.number = self.active_requests.add(active)
         self.ids.add(active.name)
         self.count('taken')
+        self.events.say('request taken', active.name, wait_ms=wait // MILLISECOND)
         write = message.parts[0] == b'PUT'
         active.tx = self.router.take(self.clock(), row, key, limit, write, since)
         active.tx.ref, active.shared = active, self.fleet is not None and not active.tx.refused
@@ -426,6 +438,7 @@
         """A client closed without waiting for its answer."""
         self.forget(active)
         self.count('gone')
+        self.events.say('client gone', active.name)
         self.router.client_gone(self.clock(), active.tx)
         for attempt in active.attempts[:]:
             if (
@@ -488,6 +501,7 @@
         self.settle()
         if self.active_requests.get(number) is active:
             LOG.error('limit passed without a decision')
+            self.events.say('request abandoned', active.name, why='no decision at the limit')
             self.reply(active, 504, 'out of time\n')
             self.router.client_gone(self.clock(), active.tx)
 
@@ -534,6 +548,7 @@
         attempt, (how, answer) = self.attempts.get(number), ending
         self.attempts.remove(number)
         active, hop = attempt.active, attempt.hop
+        self.events.say('attempt ended', active.name, server=hop.server.name, how=how, attempt=hop.index)
         active.attempts.remove(attempt)
         now = self.clock()
         open_ = self.active_requests.get(active.number) is active
@@ -545,6 +560,7 @@
             minor = active.message.parts[2]
             client = self.forget(active)
             self.count(how)
+            self.events.say('request answered', active.name, how=how, server=hop.server.name)
             lasting = self.listener.stay(client)
             if how != 'committed':
                 client.reply(http.answer(400, lasting, 'turned away by the server\n'))
@@ -687,6 +703,13 @@
         attempt = Attempt(active, hop)
         attempt.number = self.attempts.add(attempt)
         active.attempts.append(attempt)
+        self.events.say(
+            'attempt started',
+            active.name,
+            server=hop.server.name,
+            attempt=hop.index,
+            why=self.why_sent(hop),
+        )
         if self.fleet:
             self.router.shares.sent(now, hop.server, self.router.presence(now, hop.server) < 1)
         attempt.exchange = self.caches.send(
@@ -699,6 +722,13 @@
         ):  # else it ends with its active
             self.deadlines.at(until, self.patience_due, attempt.number)
 
+    @staticmethod
+    def why_sent(hop):
+        """Why an attempt is made, for the log: a retry by how the one before it ended."""
+        if hop.copy:
+            return 'copy'
+        return 'after %s' % (hop.tx.hops[hop.index - 1].how or 'a miss') if hop.index else 'first'
+
     def do_cancel(self, hop):
         """A hop is not waited for any more."""
         for attempt in hop.tx.ref.attempts:
@@ -709,6 +739,7 @@
     def do_roll_back(self, tx, after):
         """The client may safely try again."""
         self.count('rolled_back')
+        self.events.say('request refused', tx.ref.name, why=tx.why, attempts=len(tx.hops))
         client = self.forget(tx.ref)
         client.reply(self.refusal(self.listener.stay(client), after, tx.refused or 503))
 
@@ -721,6 +752,7 @@
     def do_abandon(self, tx):
         """Nothing can be promised."""
         self.count('abandoned')
+        self.events.say('request abandoned', tx.ref.name, why=tx.why, attempts=len(tx.hops))
         late = self.router.over(self.clock(), tx)
         self.reply(tx.ref, 504 if late else 502, 'it may have taken effect\n')
 
@@ -758,10 +790,10 @@
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
 
 
-def serve(place, path, fleet=None, early=(), changes=None):
+def serve(place, path, fleet=None, early=(), changes=None, lines_per_second=0):
     """Run a node, whose page is at this path, until it has drained. fleet: what a fleet file says, read and
     checked, or None. early: filled if SIGHUP came since before the page was read; it may have been read too
-    soon."""
+    soon. lines_per_second: of the log on single requests, at most; 0: none."""
     from twisted.internet.main import installReactor
     from twisted.logger import STDLibLogObserver, globalLogBeginner
 
@@ -769,7 +801,7 @@
     reactor = Reactor()
     reactor.shared = place.operator is not None
     installReactor(reactor)
-    node = Node(place, reactor)
+    node = Node(place, reactor, lines_per_second=lines_per_second)
     if fleet:
         from ..plan.fleet import Share  # what is off is not imported
 
--- a/lilacdyke/net/phases.py
+++ b/lilacdyke/net/phases.py
@@ -99,6 +99,7 @@
     if download and download.until is not None and not download.flow.paused:
         return False
     client.listener.node.count('not_read')
+    client.closed_for = 'answer not read'
     client.transport.abortConnection()
     return True
 
