--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -245,12 +245,16 @@
 
     def begin(self):
         self.running = subprocess.Popen(
-            [sys.executable, '-m', 'lilacdyke', 'serve', '--config', self.path],
+            [sys.executable, '-m', *self.program(), 'serve', '--config', self.path],
             stderr=subprocess.PIPE,
             text=True,
         )
         threading.Thread(target=self.listen, args=(self.running.stderr,), daemon=True).start()
 
+    def program(self):
+        """The module that is run as the program, with what goes before its command."""
+        return ['lilacdyke']
+
     def listen(self, pipe):
         try:
             for line in pipe:
