The reactor's timers go by the monotonic clock, and a linter rule keeps it so

Cause: Twisted's reactors set and fire their timers by time.time (ReactorBase.seconds). Deadlines keeps one such timer and leaves it alone while it is due before the next deadline, so after a step back of N s nothing that time brings about happened for N s: no answer at the limit, no further attempt, no line of figures. Sockets went on.

Change: net.sockets.Reactor.seconds is monotonic, and all processes of the project run on that reactor, also the lab's on loopback and the trial's. The log filter's minute is one of real time; Unix time is read by System.wall alone (log lines, a change's stamp). The linter bans time.time, datetime.now and Twisted's own reactors (TID251; the list of rules in tests/test_lint.py grows by it). The trial steps Unix time beneath the libraries, before they are imported, no longer at System.wall.

--- a/lilacdyke/changes/process.py
+++ b/lilacdyke/changes/process.py
@@ -6,7 +6,6 @@
 import gc
 import os
 import signal
-import time
 from random import Random
 
 from twisted.internet.error import CannotListenError
@@ -44,7 +43,7 @@
     if writes:
         store = Store(process.folder)
         host.writer = Writer(replica, settings.keys, store.keep, store.lines)
-        host.put_at = lambda: int(time.time() * 1_000)
+        host.put_at = lambda: int(System.wall() * 1_000)
     return host
 
 
--- a/lilacdyke/lab/loopback.py
+++ b/lilacdyke/lab/loopback.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from ..net.sockets import Reactor
 from ..net.system import System
 from . import stage as staging
 from .judges import judge
@@ -166,7 +167,7 @@
     def __init__(self, scenario, seed, reactor):
         self.scenario, self.seed, self.reactor = scenario, seed, reactor
         self.zero = time.monotonic()
-        self.epoch_ms = int(time.time() * 1_000)
+        self.epoch_ms = int(System.wall() * 1_000)
         self.stage, self.folder = None, None
         self.shift, self.kept = self.free()
         self.installation = 'lab-%d' % self.shift  # two labs on one machine share no seats
@@ -252,13 +253,12 @@
     """Play on loopback; its Stage. watch: called with the stage each second; seconds: the most that it goes
     on, None: the scenario's own length. build, around: another ground than this one, and what watches the
     machine meanwhile."""
-    from twisted.internet.epollreactor import EPollReactor
     from twisted.logger import globalLogBeginner
 
     from .ground import observe
 
     globalLogBeginner.beginLoggingTo([observe], discardBuffer=True, redirectStandardIO=False)
-    reactor = EPollReactor()
+    reactor = Reactor()
     ground = (build or Ground)(scenario, seed, reactor)
     with tempfile.TemporaryDirectory() as ground.folder:
         ground.stage = stage = staging.Stage(scenario, seed, ground)
--- a/lilacdyke/net/logs.py
+++ b/lilacdyke/net/logs.py
@@ -8,6 +8,8 @@
 import sys
 from time import gmtime, strftime
 
+from .system import System
+
 LOG = logging.getLogger('lilacdyke')
 
 
@@ -16,7 +18,8 @@
 
     def format(self, record):
         """One line, whatever the values hold."""
-        at = '%s.%03dZ' % (strftime('%Y-%m-%dT%H:%M:%S', gmtime(record.created)), record.msecs)
+        wall = System.wall()
+        at = '%s.%03dZ' % (strftime('%Y-%m-%dT%H:%M:%S', gmtime(wall)), wall % 1 * 1_000)
         pairs = {'at': at, 'level': record.levelname.lower(), 'event': record.getMessage()}
         pairs.update(getattr(record, 'fields', {}))
         if record.exc_info:
@@ -33,20 +36,21 @@
 
 class Sparse(logging.Filter):
     """Guards against a fault, or a server's broken answers, that every request meets: the same event is
-    written so often a minute, no more."""
+    written so often a minute, no more. The minute is one of real time, whatever the wall clock does."""
 
     MOST = 5
 
     def __init__(self):
         super().__init__()
-        self.minute, self.seen = 0, {}
+        self.minute, self.seen = System.elapsed(), {}
 
     def filter(self, record):
         """Whether this record is written."""
         if record.levelno < logging.WARNING:
             return True
-        if record.created - self.minute >= 60:
-            self.minute, self.seen = record.created, {}
+        now = System.elapsed()
+        if now - self.minute >= 60:
+            self.minute, self.seen = now, {}
         event = record.getMessage()
         self.seen[event] = self.seen.get(event, 0) + 1
         return self.seen[event] <= self.MOST
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -8,9 +8,10 @@
 import socket
 from errno import EAGAIN, EMFILE, ENFILE
 from struct import error, unpack_from
+from time import monotonic
 
 from twisted.internet.defer import Deferred
-from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.epollreactor import EPollReactor  # noqa: TID251
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.internet.tcp import Client, Port
 
@@ -53,8 +54,12 @@
 
 class Reactor(AnswersFirst, EPollReactor):
     """Twisted's own on epoll, with that order. It also spares each event the logging context that nobody here
-    uses; what an event raises is caught and logged below this."""
+    uses; what an event raises is caught and logged below this.
 
+    Guards against a wall clock that is stepped: Twisted sets its timers by Unix time, and with a step back
+    all of them would be late by the step."""
+
+    seconds = staticmethod(monotonic)
     shared = False  # whether another process of this node may listen at the same address
 
     def listenTCP(self, port, factory, backlog=50, interface=''):
--- a/lilacdyke/net/system.py
+++ b/lilacdyke/net/system.py
@@ -7,14 +7,14 @@
 
 import resource
 import socket
-from time import monotonic, time
+from time import monotonic, time  # noqa: TID251  the one place that reads the wall clock
 
 
 class System:
     """This process on this machine, as its operating system tells. Times in seconds."""
 
     elapsed = staticmethod(monotonic)  # goes on evenly, from anywhere
-    wall = staticmethod(time)  # Unix time
+    wall = staticmethod(time)  # Unix time, which may be stepped at any moment: for log lines, lists and staff
 
     @staticmethod
     def descriptors():
--- a/lilacdyke/scale/hollow.py
+++ b/lilacdyke/scale/hollow.py
@@ -30,7 +30,7 @@
 
     def take(self, origin, change):
         super().take(origin, change)
-        late = int(time.time() * 1_000) - change.at
+        late = int(System.wall() * 1_000) - change.at
         key = '%s/%s/%d' % (change.kind, origin, change.sequence)
         self.latest[key] = max(self.latest.get(key, 0), late)
         self.counted[key] = self.counted.get(key, 0) + 1
--- a/lilacdyke/trial/gaps.py
+++ b/lilacdyke/trial/gaps.py
@@ -18,6 +18,7 @@
 import click
 
 from ..lab.loopback import write_fleet
+from ..net.sockets import Reactor
 from ..net.tables import Deadlines
 from ..plan import limits
 from ..plan.lease import Lease, ToVoter
@@ -114,9 +115,7 @@
         ]:
             running.wait()
         return
-    from twisted.internet.epollreactor import EPollReactor
-
-    reactor = EPollReactor()
+    reactor = Reactor()
     with tempfile.TemporaryDirectory() as folder:
         field = Scripted(kind, times, folder, reactor)
         reactor.callWhenRunning(field.begin)
@@ -141,8 +140,7 @@
 @click.option('--lease', type=click.FloatRange(0.2, 60), default=5.0, show_default=True)
 def load(seekers, tasks, seconds, lease):
     """Messages and processor time of three voters; leases lost by the machine's own standstills."""
-    from twisted.internet import reactor
-
+    reactor = Reactor()
     with tempfile.TemporaryDirectory() as folder:
         path, port, planners = os.path.join(folder, 'fleet.toml'), 20_000 + os.getpid() % 20_000, []
         write_fleet(
--- a/lilacdyke/trial/holders.py
+++ b/lilacdyke/trial/holders.py
@@ -22,6 +22,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from ..lab.loopback import write_fleet
+from ..net.sockets import Reactor
 from ..net.system import System
 from ..plan.book import Book
 from ..plan.leases import Seeker, Voter
@@ -456,9 +457,7 @@
 
 def once(seed, mutant=None):
     """Play and judge one trial in this process."""
-    from twisted.internet.epollreactor import EPollReactor
-
-    reactor = EPollReactor()
+    reactor = Reactor()
     with tempfile.TemporaryDirectory() as folder:
         still = Stillness(folder)
         field = Field(seed, folder, reactor, mutant)
--- a/lilacdyke/trial/launch.py
+++ b/lilacdyke/trial/launch.py
@@ -43,16 +43,22 @@
 
 
 def bend(bends):
-    """The clocks of this process, from here on."""
-    from ..net.system import System
-
+    """The clocks of this process, from here on; the wall clock beneath the libraries, which are not imported
+    yet."""
     start, rate = MACHINE(), bends.get('rate', 1.0)
     jumps = sorted(bends.get('jumps', []))
-    wall = time.time() - start
-    System.elapsed = staticmethod(lambda: start + (MACHINE() - start) * rate)
-    System.wall = staticmethod(
-        lambda: wall + System.elapsed() + sum(by for after, by in jumps if MACHINE() - start >= after)
-    )
+    wall = time.time() - start  # noqa: TID251
+
+    def elapsed():
+        return start + (MACHINE() - start) * rate
+
+    def stepped():
+        return wall + elapsed() + sum(by for after, by in jumps if MACHINE() - start >= after)
+
+    time.time = stepped  # noqa: TID251
+    from ..net.system import System
+
+    System.elapsed, System.wall = staticmethod(elapsed), staticmethod(stepped)
 
 
 def find(step):
@@ -124,11 +130,11 @@
 def prepare(bends):
     """All that the bends ask for; the history."""
     bound_to_parent()
+    if 'rate' in bends or 'jumps' in bends:
+        bend(bends)
     if 'mutant' in bends:
         mutate(bends['mutant'])
     history = History(bends.get('history'))
-    if 'rate' in bends or 'jumps' in bends:
-        bend(bends)
     if bends.get('eyes'):
         from ..lab import eyes
 
--- a/lilacdyke/trial/load.py
+++ b/lilacdyke/trial/load.py
@@ -17,6 +17,7 @@
 import click
 
 from ..lab.loopback import write_fleet
+from ..net.sockets import Reactor
 from ..net.tables import Deadlines
 from ..plan import limits
 from ..plan.fleet import Share
@@ -80,8 +81,7 @@
 @click.option('--lease', default=2.0, show_default=True)
 def main(forwarders, seconds, lease):
     """Processor time, bytes and memory of one planner and of a forwarder's links."""
-    from twisted.internet import reactor
-
+    reactor = Reactor()
     with tempfile.TemporaryDirectory() as folder:
         path, port = os.path.join(folder, 'fleet.toml'), 20_000 + os.getpid() % 20_000
         write_fleet(
--- a/lilacdyke/trial/shim.py
+++ b/lilacdyke/trial/shim.py
@@ -15,6 +15,8 @@
     calls   rules: call, errno, first, count, for_s, size, kill (lab/callfaults.py)
 """
 
+# ruff: noqa: TID251  it stands in place of the calls that all others may not make
+
 import builtins
 import ctypes
 import io
--- a/tests/test_lint.py
+++ b/tests/test_lint.py
@@ -46,4 +46,4 @@
         self.assertFalse({path for path, codes in listed.items() if 'F821' in codes})
         plain = 'lint.per-file-ignores={}'
         self.assertEqual({path: set(codes) for path, codes in listed.items()}, broken_rules(plain))
-        self.assertEqual(set(lint['select']), {'E', 'F', 'W', 'I', 'N', 'B', 'SIM', 'C90'})
+        self.assertEqual(set(lint['select']), {'E', 'F', 'W', 'I', 'N', 'B', 'SIM', 'C90', 'TID251'})
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -1,7 +1,12 @@
 """A wall clock that steps beneath the program and its libraries changes nothing that it does."""
 
+import logging
 import time
 import unittest
+from unittest import mock
+
+from lilacdyke.net.logs import Sparse
+from lilacdyke.net.sockets import Reactor
 
 from .faulty import OnFaultyMachine
 
@@ -50,5 +55,28 @@
             self.assert_in_time()
 
 
+class Libraries(unittest.TestCase):
+    """What libraries do beneath the program by a clock is done by the monotonic one."""
+
+    def test_the_reactors_timers_go_by_the_monotonic_clock(self):
+        reactor = Reactor()
+        self.addCleanup(reactor._poller.close)
+        self.assertIs(reactor.seconds, time.monotonic)
+        call = reactor.callLater(5, int)
+        self.assertIs(call.seconds, time.monotonic)
+        self.assertAlmostEqual(call.getTime(), time.monotonic() + 5, delta=1)
+        call.cancel()
+
+    def test_warnings_are_written_again_after_a_minute_of_real_time(self):
+        now, record = [100.0], logging.LogRecord('x', logging.WARNING, '', 0, 'same', (), None)
+        with mock.patch('lilacdyke.net.logs.System.elapsed', lambda: now[0]):
+            sparse = Sparse()
+            self.assertEqual([sparse.filter(record) for _ in range(7)], [True] * 5 + [False] * 2)
+            record.created -= HOUR
+            self.assertFalse(sparse.filter(record))
+            now[0] += 60
+            self.assertTrue(sparse.filter(record))
+
+
 if __name__ == '__main__':
     unittest.main()
