Failed calls of the node's own machine are told apart from servers' and tried again soon

Twisted took EAGAIN of connect(2) for a connection coming up, ended connections on ENOMEM of send(2) and recv(2), and let ENOMEM of epoll_ctl(2) out of the reactor; the door raised on any errno of accept(2) but two.

Change: net/local_errors.py says which errnos tell of this machine; such an attempt waits for an eighth of its time while its pool tries again after 5 ms, doubling to 100 ms, then never ran (unsent) and may go elsewhere. net/transports.py: connections that read or write again a little later, an epoll that sets interest later. A listening socket that cannot be made for want of memory or descriptors is tried for a second.

--- a/lilacdyke/changes/link.py
+++ b/lilacdyke/changes/link.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from ..net.logs import LOG, warn
-from ..net.sockets import Outgoing
+from ..net.sockets import Outgoing, no_delay
 from .messages import (
     BadFrameError,
     Hello,
@@ -32,7 +32,7 @@
         self.heard = host.clock()  # when something last came
 
     def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
         self.transport.bufferSize = BUFFERED
         self.transport.registerProducer(self, True)
 
--- a/lilacdyke/lab/reactor.py
+++ b/lilacdyke/lab/reactor.py
@@ -11,7 +11,9 @@
 from twisted.internet import tcp
 from twisted.internet.posixbase import PosixReactorBase, _PollLikeMixin
 
+from ..net import transports
 from ..net.sockets import AnswersFirst
+from ..net.transports import OpenedConnection, PatientReactor
 from .world import MICRO
 
 TURN, EVENT = 20, 12  # microseconds that a turn costs, and each event in it
@@ -54,7 +56,7 @@
         return ready
 
 
-class Opened(tcp.Client):
+class Opened(OpenedConnection):
     """A connection from here, on a simulated socket."""
 
     def createInternetSocket(self):
@@ -66,14 +68,14 @@
         return Opened(self.host, self.port, self.bindAddress, self, self.reactor)
 
 
-class Port(tcp.Port):
+class Port(transports.Port):
     """A listening port on a simulated socket."""
 
     def createInternetSocket(self):
         return self.reactor.process.socket()
 
 
-class SimReactor(AnswersFirst, PosixReactorBase, _PollLikeMixin):
+class SimReactor(AnswersFirst, PatientReactor, PosixReactorBase, _PollLikeMixin):
     """A process's own. clock: (offset, rate) of its monotonic clock against the world's."""
 
     _POLL_DISCONNECTED, _POLL_IN, _POLL_OUT = ALWAYS, EPOLLIN, EPOLLOUT
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -6,18 +6,22 @@
 """
 
 from collections import deque
-from errno import ECONNREFUSED, EMFILE, ENFILE
+from errno import ECONNREFUSED
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 
 from .flow import PIECE, STALLED, Flow
 from .http import ANSWER, BadMessage, Reader, request
-from .sockets import Outgoing, connect, push, quiet
+from .local_errors import NO_DESCRIPTOR, connecting_errno, local_errno
+from .sockets import Outgoing, connect, no_delay, push, quiet
 from .tables import Table
 
 KEPT = 0.6  # of the server's idle time, until an idle connection is closed
 SETTLED = 100  # after an answer, until its connection is trusted with the next hop
+# Ticks until the first and the longest wait for the next try after a connection that this machine could not
+# make; for so small a part of its time a hop waits for that.
+REDIAL_LEAST, REDIAL_MOST, HELD_PART = 50, 1_000, 8
 CROWDED = 3 * SETTLED  # how long a connection rests where a server has no place for more
 NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
 
@@ -42,7 +46,7 @@
 class Exchange:
     """One hop under way: the client's request, until when it is waited for, and where it is."""
 
-    __slots__ = ('pool', 'message', 'until', 'wanted', 'by', 'link', 'done', 'in_part')
+    __slots__ = ('pool', 'message', 'until', 'wanted', 'by', 'link', 'done', 'in_part', 'held_until')
 
     def __init__(self, pool, message, until, wanted, by):
         self.pool, self.message, self.until = pool, message, until
@@ -52,6 +56,7 @@
             by,
         )  # whether it may still leave; when it has to have left, None: at any time
         self.link = None  # the connection, once there is one
+        self.held_until = None  # while this machine cannot connect: until when it waits for that
         self.done = Deferred()  # fires once, with (ending, answer or None)
 
     def cut(self, how):
@@ -63,6 +68,8 @@
             self.link.give_up()
         else:
             self.pool.waiting.remove(self)
+            if self.held_until is not None:
+                how = 'unsent'  # no server was asked: this machine could not
         self.over(how)
 
     @property
@@ -97,7 +104,7 @@
         self.first_piece, self.last_piece = None, 0  # of a held answer of no told length: when they came
 
     def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
 
     def carry(self, exchange):
         """Send a hop: at once, or what the system does not take as a pull producer, which is asked for more
@@ -310,7 +317,10 @@
 class Pool:
     """The connections to one server."""
 
-    __slots__ = ('caches', 'server', 'address', 'resting', 'waiting', 'dials', 'refused', 'crowded', 'links')
+    __slots__ = (
+        *('caches', 'server', 'address', 'resting', 'waiting', 'dials', 'refused', 'crowded', 'links'),
+        *('backoff', 'redial_at'),
+    )
 
     def __init__(self, caches, server, address):
         self.caches, self.server, self.address = caches, server, address
@@ -319,6 +329,8 @@
         self.dials = 0  # connections that are being opened
         self.links = 0  # connections, those being opened among them
         self.crowded = 0  # until when it counts as having no place for more connections
+        self.backoff = 0  # until the next try to connect after one that this machine could not make
+        self.redial_at = None  # when that is; None: it can connect, as far as is known
         self.refused = False  # whether nobody listened there lately, so that its process had ended
 
     def send(self, exchange):
@@ -335,7 +347,9 @@
             exchange.over('unsent')
             return
         self.waiting.append(exchange)
-        if self.may_dial():
+        if self.redial_at is not None:
+            self.hold(exchange)
+        elif self.may_dial():
             self.dial()  # else the first that comes free is the one to wait for
 
     def may_dial(self):
@@ -371,6 +385,7 @@
         """A connection is up: it is the first waiting hop's."""
         self.dials -= 1
         self.caches.dialling.remove(number)
+        self.can_connect()
         if self.refused:
             # Guards against pushing over a fresh process, cold, of which the list tells only seconds later.
             self.refused = False
@@ -406,12 +421,68 @@
         self.dials -= 1
         self.caches.dialling.remove(number)
         self.forget(link)
-        error = getattr(failure.value, 'osError', None)
+        error = connecting_errno(failure)
         self.caches.events.say(
             'connect failed', server=self.server.name, why=reason_text(failure), errno=error
         )
+        if local_errno(failure) is not None:
+            self.cannot_connect(error)
+            return
+        self.can_connect()
         self.refused = self.refused or error == ECONNREFUSED
-        self.without('unsent' if error in (EMFILE, ENFILE) else 'unreachable')
+        self.without('unreachable')
+
+    # --- a machine that cannot connect --------------------------------------------------------------------
+
+    def cannot_connect(self, error):
+        """A call on this machine failed, which tells nothing of the server: hops go on waiting, and the next
+        try comes soon, and ever later while that goes on. Guards against servers set aside, and reads
+        refused, for what ends by itself."""
+        self.caches.call_failed('connect', error)
+        if error in NO_DESCRIPTOR:
+            self.caches.make_way()
+        for exchange in self.waiting:
+            self.hold(exchange)
+        if self.redial_at is None:
+            self.redial_later()
+
+    def redial_later(self):
+        """Set the time of the next try."""
+        self.backoff = min(REDIAL_MOST, 2 * self.backoff or REDIAL_LEAST)
+        self.redial_at = self.caches.clock() + self.backoff
+        self.caches.deadlines.at(self.redial_at, self.caches.redial_due, self.caches.redials.add(self))
+
+    def hold(self, exchange):
+        """A hop waits until this machine can connect, for a part of its time: the rest is for other servers,
+        and for an answer in time."""
+        if exchange.held_until is None:
+            now = self.caches.clock()
+            exchange.held_until = now + max(0, exchange.until - now) // HELD_PART
+
+    def redial(self):
+        """Try again for the hops that still wait, with one connection until it is known that others can be
+        made."""
+        now = self.caches.clock()
+        for exchange in [exchange for exchange in self.waiting if now >= exchange.held_until]:
+            if exchange in self.waiting:  # what the end of one brings about may have ended another
+                exchange.cut('unsent')
+        self.redial_at = None
+        if len(self.waiting) <= self.dials:
+            return
+        if self.may_dial() and self.caches.room():
+            self.dial()
+        else:
+            self.redial_later()
+
+    def can_connect(self):
+        """A try to connect got as far as the other machine: the hops that waited for that have theirs now,
+        but the first, which is served, or failed, by the one that this is about."""
+        if not self.backoff:
+            return
+        self.backoff = 0
+        for _ in range(len(self.waiting) - self.dials - 1):
+            if self.may_dial() and self.caches.room():
+                self.dial()
 
     def rest(self, link):
         """A connection is free. Guards against servers that close one right after an answer, or send more
@@ -460,14 +531,18 @@
 class Caches:
     """All connections to servers, within a budget of descriptors."""
 
-    def __init__(self, reactor, deadlines, clock, place, budget, broken, fault, returned, events):
+    def __init__(
+        self, reactor, deadlines, clock, place, budget, broken, fault, returned, events, call_failed
+    ):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.within, self.keep = place.connect_within, int(place.idle * KEPT)
         self.budget = budget
         self.broken, self.fault = broken, fault  # told of answers out of form, and of faults in here
         self.returned = returned  # told of a server that takes connections again, after it refused some
         self.pools, self.table, self.dialling = {}, Table(), Table()
+        self.redials = Table()  # pools that try again to connect later
         self.resting = {}  # idle connections by number, the longest idle first
+        self.call_failed = call_failed  # told of calls that this machine could not make
         self.events = events  # lines on single connections (events.py)
         self.shares = None  # what the fleet lets this node spend, where there is one
 
@@ -561,6 +636,12 @@
             link = self.table.get(number)
             link.pool.serve_waiting(link)
 
+    def redial_due(self, number):
+        """The wait after a failed call of this machine is over."""
+        pool = self.redials.get(number)
+        self.redials.remove(number)
+        pool.redial()
+
     def dial_due(self, number):
         """Guards against a server that vanished: its connections never come up."""
         opening = self.dialling.get(number)
--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -12,7 +12,7 @@
 from .http import BadMessage, Reader
 from .logs import LOG
 from .phases import ASKED, FRESH, HALF, PARTING, RESTING, STREAMING
-from .sockets import left, push, unread_for, waiting
+from .sockets import left, no_delay, push, unread_for, waiting
 
 SLOW = 16_384  # bytes of a body that give a client a second more for the rest of it
 HELD = 2 * http.MAX_BODY  # bytes read ahead of the answer that is owed; then the client is paused
@@ -41,7 +41,7 @@
     # --- bytes come -------------------------------------------------------------------------------------
 
     def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
         self.listener.opened(self)
 
     def dataReceived(self, data):
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -11,7 +11,7 @@
 from ..values import STATES, BadLine, up
 from .http import ANSWER, BadMessage, Chunks, Reader
 from .logs import LOG, warn
-from .sockets import Outgoing, connect
+from .sockets import Outgoing, connect, no_delay
 from .tables import Table
 
 # What is told late adds up: a watch that hangs, one wait, one call that is answered at once. The sum stays
@@ -88,7 +88,7 @@
         self.turned_away = False  # whether discovery has too many callers
 
     def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
         self.transport.write(self.discovery.request())
 
     def dataReceived(self, data):
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -47,7 +47,9 @@
         else:
             self.port = reactor.adoptStreamPort(given, AF_INET6 if ':' in host else AF_INET, self)
         self.port.numberAccepts = 1
-        guard(self.port, self.node.router.late, http.one_read, self.refusal, self.crowded)
+        guard(
+            self.port, self.node.router.late, http.one_read, self.refusal, self.crowded, self.node.call_failed
+        )
         self.see_to_door()
         self.look()
 
@@ -108,14 +110,15 @@
             closed = self.full or self.yielded or not self.node.began()
             (self.port.stopReading if closed else self.port.startReading)()
 
-    def crowded(self):
-        """No descriptor is left for who waits at the door, though the budget has one: something else holds
-        them. Guards against clients that wait there until their time is up while idle connections hold
-        descriptors; and against asking again and again: they are accepted once one is free, or a moment
+    def crowded(self, no_descriptor):
+        """Who waits at the door cannot be accepted now. Without a descriptor, though the budget has one,
+        something else holds them: guards against clients that wait until their time is up while idle
+        connections hold descriptors. Guards also against asking again and again: they are accepted a moment
         later."""
-        self.node.count('no_descriptor')
-        self.node.caches.make_way()
-        self.phases.make_room(1, FULL)
+        if no_descriptor:
+            self.node.count('no_descriptor')
+            self.node.caches.make_way()
+            self.phases.make_room(1, FULL)
         self.port.stopReading()
         self.deadlines.at(self.clock() + LOOK_FULL // 10, self.uncrowded, 0)
 
@@ -125,7 +128,10 @@
     def show_all(self):
         """The node is to exit: the system shows connections at the door from now on before they have said
         anything. Guards against one that is closed, with what it then says, because nobody saw it."""
-        self.port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 0)
+        try:
+            self.port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 0)
+        except OSError as err:
+            self.node.call_failed('setsockopt', err.errno)
 
     def nobody_comes(self, until):
         """Whether the door may be shut: nobody has come for a while, counted from this time at the latest,
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -22,6 +22,7 @@
 from .discovery import Discovery, read_list, started
 from .events import EventLog
 from .listener import Listener
+from .local_errors import name_of
 from .logs import LOG, say, warn
 from .sockets import Reactor, unread_for
 from .system import System
@@ -70,6 +71,7 @@
 
     def __init__(self, place, reactor, system=System, lines_per_second=0):
         self.place, self.reactor, self.system, self.elapsed = place, reactor, system, system.elapsed
+        reactor.call_failed = self.call_failed
         self.phase = STARTING
         self.zero = self.elapsed() - 1  # the module's clock starts at one second
         self.offset = self.clock() - int(system.wall() * SECOND)
@@ -92,6 +94,7 @@
             self.fault,
             self.returned,
             self.events,
+            self.call_failed,
         )
         self.discovery = Discovery(reactor, self.deadlines, self.clock, place, self.chance, self)
         self.desk = None  # operators' door
@@ -581,6 +584,12 @@
         self.count('broken_answers')
         warn('answer not read', server=server.name, reason=err)
 
+    def call_failed(self, call, number):
+        """A call to the system failed, which tells of this machine alone."""
+        name = name_of(number)
+        self.count('failed_%s_%s' % (call, name))
+        warn('call failed: %s %s' % (call, name))
+
     def returned(self, server):
         """A server takes connections again where nobody listened: its process is a new one, until the list
         says otherwise."""
--- a/lilacdyke/net/operator.py
+++ b/lilacdyke/net/operator.py
@@ -11,6 +11,7 @@
 from . import http
 from .http import BadMessage, Reader
 from .logs import LOG
+from .sockets import no_delay
 from .tables import Table
 
 MOST = 12  # callers at once; the longest there makes way for the next
@@ -42,7 +43,7 @@
         self.number, self.asked, self.answered = None, False, False
 
     def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
         self.desk.opened(self)
 
     def dataReceived(self, data):
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -6,16 +6,22 @@
 """
 
 import socket
-from errno import EAGAIN, EMFILE, ENFILE
+from contextlib import suppress
+from errno import EAGAIN
 from struct import error, unpack_from
-from time import monotonic
+from time import monotonic, sleep
 
 from twisted.internet.defer import Deferred
 from twisted.internet.epollreactor import EPollReactor  # noqa: TID251
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ClientFactory, Protocol
-from twisted.internet.tcp import Client, Port
+from twisted.internet.tcp import Client
+
+from .local_errors import GONE, NO_DESCRIPTOR, NO_MEMORY, name_of
+from .transports import Connector, PatientEpoll, PatientReactor, Port
 
 LAST_RECEIVED = 52  # where tcp_info tells when bytes last came, in bytes
+LISTEN_TRIES, LISTEN_PAUSE_SECONDS = 20, 0.05  # while the machine has no memory or descriptor for a start
 CLOSED = (7, 8)  # states that it tells first: all is over, or the other side has closed
 
 
@@ -52,7 +58,7 @@
     )
 
 
-class Reactor(AnswersFirst, EPollReactor):
+class Reactor(AnswersFirst, PatientReactor, EPollReactor):
     """Twisted's own on epoll, with that order. It also spares each event the logging context that nobody here
     uses; what an event raises is caught and logged below this.
 
@@ -62,10 +68,36 @@
     seconds = staticmethod(monotonic)
     shared = False  # whether another process of this node may listen at the same address
 
+    def __init__(self):
+        super().__init__()
+        self._poller = PatientEpoll(
+            self._poller, self.callLater, lambda call, number: self.call_failed(call, number)
+        )
+
     def listenTCP(self, port, factory, backlog=50, interface=''):
-        """Listen; with nothing shut down at the end, as another process may hold the same socket."""
-        made = Port(port, factory, backlog, interface, self)
-        made._reusePort, made._shouldShutdown = self.shared, False
+        """Listen; with nothing shut down at the end, as another process may hold the same socket. Guards
+        against a start that fails because the machine has no memory or descriptors for a moment."""
+        for tries_left in reversed(range(LISTEN_TRIES)):
+            made = Port(port, factory, backlog, interface, self)
+            made._reusePort, made._shouldShutdown = self.shared, False
+            try:
+                made.startListening()
+                return made
+            except CannotListenError as err:
+                number = getattr(err.socketError, 'errno', None)
+                if number not in NO_DESCRIPTOR | NO_MEMORY or not tries_left:
+                    raise
+                self.call_failed('listen', number)
+                sleep(LISTEN_PAUSE_SECONDS)
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        made = Connector(host, port, factory, timeout, bindAddress, self)
+        made.connect()
+        return made
+
+    def adoptStreamPort(self, descriptor, family, factory):
+        """Listen at a socket that another process gave."""
+        made = Port._fromListeningDescriptor(self, descriptor, family, factory)
         made.startListening()
         return made
 
@@ -124,14 +156,9 @@
     MOST = 32  # turned away in a row, until other sockets have their turn
     LOOK = 16_384  # bytes looked at of what lies unread on one
 
-    def __init__(self, listening, late, whole, answer, crowded):
-        self.listening, self.late, self.whole, self.answer, self.crowded = (
-            listening,
-            late,
-            whole,
-            answer,
-            crowded,
-        )
+    def __init__(self, listening, late, whole, answer, crowded, call_failed):
+        self.listening, self.late, self.whole, self.answer = listening, late, whole, answer
+        self.crowded, self.call_failed = crowded, call_failed
 
     def __getattr__(self, name):
         return getattr(self.listening, name)
@@ -141,13 +168,13 @@
         for _ in range(self.MOST):
             try:
                 came, address = self.listening.accept()
+            except BlockingIOError:
+                raise
             except OSError as err:
-                if err.errno not in (EMFILE, ENFILE):
-                    raise
-                # Guards against what Twisted does without a descriptor: it accepts all that wait and closes
-                # them.
-                self.crowded()
-                raise BlockingIOError(EAGAIN, 'no descriptor') from None
+                self.failed(err.errno)
+                if err.errno in GONE:
+                    continue
+                raise BlockingIOError(EAGAIN, name_of(err.errno)) from None
             state, waited = tcp_info(came)
             if state in CLOSED:
                 came.close()  # nobody is there any more
@@ -155,6 +182,13 @@
                 return came, address
         raise BlockingIOError(EAGAIN, 'others first')
 
+    def failed(self, number):
+        """A call for the next connection failed. Guards against what Twisted does without a descriptor: it
+        accepts all that wait and closes them; and against asking again at once, for as long as that lasts."""
+        self.call_failed('accept', number)
+        if number not in GONE:
+            self.crowded(number in NO_DESCRIPTOR)
+
     def turn_away(self, came):
         """Answer, if a request lies there whole and nothing more: closing on anything unread, or on what is
         still to come, would take the answer back. Whether it was turned away; else it is let in."""
@@ -184,12 +218,22 @@
         return 0, 0
 
 
-def guard(port, late, whole, answer, crowded):
-    """Put a Door before a port, which calls crowded() if there is no descriptor for the next, and let the
-    system keep a new connection to itself until its first bytes come, or for a second. whole(bytes): whether
-    they are one request. Guards against connections by the hundreds that say nothing: they take no place."""
-    port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
-    port.socket = Door(port.socket, late, whole, answer, crowded)
+def guard(port, late, whole, answer, crowded, call_failed):
+    """Put a Door before a port, and let the system keep a new connection to itself until its first bytes
+    come, or for a second. whole(bytes): whether they are one request. crowded(no_descriptor) is called if the
+    next cannot be had now, call_failed(call, errno) for each call that fails. Guards against connections by
+    the hundreds that say nothing: they take no place."""
+    try:
+        port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
+    except OSError as err:
+        call_failed('setsockopt', err.errno)  # it serves without that
+    port.socket = Door(port.socket, late, whole, answer, crowded, call_failed)
+
+
+def no_delay(transport):
+    """Have small writes leave at once; a connection that cannot is used all the same."""
+    with suppress(OSError):
+        transport.setTcpNoDelay(True)
 
 
 def left(transport):
--- a/lilacdyke/plan/link.py
+++ b/lilacdyke/plan/link.py
@@ -8,7 +8,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from ..net.logs import LOG, warn
-from ..net.sockets import Outgoing, waiting
+from ..net.sockets import Outgoing, no_delay, waiting
 from .frames import ASK, DIGEST, FREE, PLAN, SEEK, TOLD, VOTE, BadFrame, Frames, OtherMajor, pack
 
 
@@ -22,7 +22,7 @@
         self.frames, self.ended = Frames(), False
 
     def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
 
     def dataReceived(self, data):
         if self.ended:
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -61,5 +61,48 @@
         self.served(self.client(), 'during')
 
 
+class OnConnections(OnFaultyMachine):
+    """Calls on connections, and for new ones, that fail for a moment and leave the connection as it was."""
+
+    SPAN = 0.12  # seconds for which a call fails
+
+    def setUp(self):
+        super().setUp()
+        self.servers['c0'].socket.settimeout(5)
+
+    def assert_served_through(self, call, *numbers):
+        for number in numbers:
+            with self.subTest(call=call, errno=errno.errorcode[number]):
+                self.board.put(calls=[{'call': call, 'errno': number, 'for_s': self.SPAN}])
+                name = '%s-%d' % (call, number)
+                line = self.client()
+                self.served(line, name).close()
+                self.board.put()
+                line.close()
+
+    def test_bytes_that_cannot_be_moved_now_are_moved_later(self):
+        self.assert_served_through('send', errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN)
+        self.assert_served_through('recv', errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN)
+
+    def test_interest_that_cannot_be_set_now_is_set_later(self):
+        self.assert_served_through('epoll_ctl', errno.ENOMEM, errno.ENOSPC)
+
+    def test_connections_that_cannot_be_accepted_now_are_accepted_later(self):
+        self.assert_served_through('accept', errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE)
+
+    def test_options_that_cannot_be_set_or_read_are_done_without(self):
+        self.assert_served_through('setsockopt', errno.ENOBUFS, errno.ENOMEM)
+        self.assert_served_through('getsockopt', errno.ENOBUFS, errno.ENOMEM)
+        self.assert_served_through('getpeername', errno.ENOBUFS)
+        self.assert_served_through('getsockname', errno.ENOBUFS)
+
+    def test_a_few_bytes_at_a_time(self):
+        for call in ('send', 'recv'):
+            with self.subTest(call=call):
+                self.board.put(calls=[{'call': call, 'size': 3}])
+                self.served(self.client(), 'short-' + call).close()
+                self.board.put()
+
+
 if __name__ == '__main__':
     unittest.main()
