--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+from .crossings import chunk, told
 from .faulty import OnFaultyMachine
 
 CLIENTS = 8
@@ -104,5 +105,30 @@
                 self.board.put()
 
 
+class Starting(OnFaultyMachine):
+    """A start whose first calls to discovery fail on this machine."""
+
+    names, watches = ('c0', 'c1'), False
+
+    def prepare(self):
+        super().prepare()
+        self.board.put(calls=[{'call': 'connect', 'errno': errno.ENOBUFS, 'count': 4}])
+
+    def test_nobody_is_served_by_the_remembered_list_before_discovery_was_asked(self):
+        watch, _ = self.agent.watch()
+        lines = [self.client() for _ in range(CLIENTS)]
+        for index, line in enumerate(lines):
+            self.ask(line, 'early%d' % index, path='/read/k%d' % index)
+        time.sleep(0.2)  # in which nothing has come of discovery yet
+        watch.say(chunk(told(5, self.row('c0', lifecycle='DRAINING'), self.row('c1'))))
+        for _ in lines:
+            hop = self.servers['c1'].take()
+            self.assertTrue(hop.request())
+            hop.answer()
+        self.assertEqual([line.answered()[0] for line in lines], [200] * CLIENTS)
+        self.finish()
+        self.assertEqual(self.servers['c0'].all_seen(), [])
+
+
 if __name__ == '__main__':
     unittest.main()
