--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -10,6 +10,7 @@
 from ..decode import address, find
 from ..values import STATES, BadLine, up
 from .http import ANSWER, BadMessage, Chunks, Reader
+from .local_errors import local_errno
 from .logs import LOG, warn
 from .sockets import Outgoing, connect, no_delay
 from .tables import Table
@@ -30,6 +31,7 @@
 # Where it turned the call away it has too many: backoff doubles from a quarter of this on. Guards against a
 # retry storm, in which a whole fleet that asks again at once keeps it shut for all.
 BACKOFF_TURNED_AWAY, TURNED_AWAY = 30_000, (b'503', b'429')
+REDIAL_LEAST, REDIAL_MOST = 50, 1_000  # ticks until the next try where a call of this machine failed
 WORDS = {state: word for word, state in STATES.items()}
 MAX_LIST = 4 << 20  # one list on the watch, in bytes
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # a string in a list, which hides what is in it
@@ -174,6 +176,7 @@
         )  # when the watch last said something; when its last whole line came, or it was opened
         self.turn = 0  # one more with each watch: a retry that another overtook is void
         self.backing_off = False  # whether a retry is due
+        self.redials = 0  # calls of this machine that failed in a row
 
     def close(self):
         """End the watch, if there is one: whatever still comes of it finds that it is not the present one."""
@@ -224,9 +227,23 @@
         self.watch.number = self.table.add(self.watch)
         self.opening = connect(self.reactor, self.where, self.watch)
         watch = self.watch
-        self.opening.addErrback(lambda failure: self.lost(watch, 'no connection'))
+        self.opening.addErrback(self.not_connected, watch)
         self.deadlines.at(self.heard + self.within, self.silent, watch.number)
 
+    def not_connected(self, failure, watch):
+        """A connection did not come up. Where a call of this machine failed nobody was asked: that is tried
+        again soon and tells nothing of discovery, so that a node that starts goes on waiting for its word."""
+        number = local_errno(failure)
+        if number is None or self.watch is not watch:
+            self.lost(watch, 'no connection')
+            return
+        self.node.call_failed('connect', number)
+        self.close()
+        self.redials += 1
+        wait = min(REDIAL_MOST, REDIAL_LEAST << min(self.redials, 8))
+        self.backing_off = True
+        self.deadlines.at(self.clock() + wait, self.retry, self.turn)
+
     def silent(self, number):
         """Guards against a peer that vanished without a word, while connecting as later, and one that
         trickles."""
@@ -241,6 +258,7 @@
 
     def told(self, lines):
         """A line was read: the node learns it at once."""
+        self.redials = 0
         self.node.listed(*lines[1:])
         self.version, self.failures, self.turned_away = lines[0], 0, 0
 
