--- /dev/null
+++ b/tests/changes/test_full_disk.py
@@ -0,0 +1,114 @@
+"""A writer whose disk fails for a while, as a process over the shim: what it said was kept is there, and what
+it said was refused is not, also after it was killed and started anew."""
+
+import errno
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+from lilacdyke.changes import cli, settings, store
+from lilacdyke.changes.messages import Item, PutAnswer, PutRequest, Status, StatusRequest, pack, unpack
+from lilacdyke.changes.writer import Put
+from lilacdyke.scale.fleet_run import free_ports
+from lilacdyke.trial.shim import Board
+
+PATIENCE_S = 20.0
+FILE = """
+enabled = true
+installation = "here"
+stale_after_s = 3.0
+[[process]]
+name = "w0"
+role = "writer"
+address = "127.0.0.1:%d"
+folder = "%s"
+[keys]
+limit = "number"
+"""
+
+
+class FullDisk(unittest.TestCase):
+    """One writer."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder, self.path = folder.name, os.path.join(folder.name, 'changes.toml')
+        with open(self.path, 'w', encoding='utf-8') as file:
+            file.write(FILE % (*free_ports(1), folder.name))
+        self.address = settings.read(self.path).named('w0').address
+        self.board = Board(os.path.join(folder.name, 'board'))
+        self.addCleanup(self.board.close)
+        self.running = None
+        self.start()
+        self.addCleanup(self.kill)
+
+    def start(self):
+        command = ('change', 'run', '--file', self.path, '--name', 'w0')
+        self.running = subprocess.Popen(
+            (sys.executable, '-m', 'lilacdyke.trial.shim', self.board.path, *command),
+            stderr=subprocess.DEVNULL,
+        )
+        end = time.monotonic() + PATIENCE_S
+        while self.ask(StatusRequest(), Status) is None:
+            self.assertIsNone(self.running.poll(), 'the writer did not start')
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.05)
+
+    def kill(self):
+        self.running.send_signal(signal.SIGKILL)
+        self.running.wait()
+
+    def ask(self, request, kind):
+        host, _, port = self.address.rpartition(':')
+        try:
+            with socket.create_connection((host, int(port)), 5.0) as connection:
+                connection.settimeout(5.0)
+                connection.sendall(pack(request))
+                return unpack(cli.read_frame(connection), kind)
+        except (OSError, cli.BadFrameError):
+            return None
+
+    def put(self, value):
+        """Whether a change was told as kept."""
+        answer = self.ask(PutRequest('config', [Item('limit', str(value))]), PutAnswer)
+        self.assertIsNotNone(answer, 'no answer')
+        return answer.position is not None
+
+    def kept(self):
+        """The values in the file, in order."""
+        lines = store.read(self.folder)
+        return [int(line.change.items[0].value) for line in lines if isinstance(line, Put)]
+
+    def assert_keeps_its_word(self, *calls):
+        """Changes are put before, while and after calls fail, then the writer is killed and started anew."""
+        told = [value for value in (1, 2) if self.put(value)]
+        self.board.put(calls=calls)
+        told += [value for value in (3, 4) if self.put(value)]
+        self.board.put()
+        told += [value for value in (5, 6) if self.put(value)]
+        self.assertEqual(told[:2] + told[-2:], [1, 2, 5, 6])
+        self.kill()
+        self.start()
+        self.assertEqual(self.kept(), told)
+        self.assertTrue(self.put(7))
+
+    def test_a_write_that_falls_short(self):
+        self.assert_keeps_its_word(
+            {'call': 'write', 'size': 5, 'count': 1}, {'call': 'write', 'errno': errno.ENOSPC, 'first': 2}
+        )
+
+    def test_a_sync_that_fails_after_the_whole_line_was_written(self):
+        self.assert_keeps_its_word({'call': 'fsync', 'errno': errno.EIO, 'count': 1})
+
+    def test_a_disk_that_takes_nothing(self):
+        self.assert_keeps_its_word({'call': 'write', 'errno': errno.ENOSPC})
+
+
+if __name__ == '__main__':
+    unittest.main()
