--- a/lilacdyke/changes/process.py
+++ b/lilacdyke/changes/process.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+import time
 from random import Random
 
 from twisted.internet.error import CannotListenError
@@ -17,10 +18,34 @@
 from ..values import SECOND
 from .host import Host
 from .replica import Replica
-from .store import Store
-from .writer import Writer
+from .store import DiskError, Store
+from .writer import NotKeptError, Writer
 
 FIGURES_EVERY = 10 * SECOND
+START_TRIES, START_PAUSE_S = 20, 0.25
+
+
+def patiently(call):
+    """What a call gives that writes or reads the file. Guards against a start that fails because the disk
+    does for a moment. Raises BadLine."""
+    for tries_left in reversed(range(START_TRIES)):
+        try:
+            return call()
+        except (DiskError, NotKeptError) as err:
+            if not tries_left:
+                raise
+            warn('disk failed at the start', reason=err)
+            time.sleep(START_PAUSE_S)
+
+
+def writer_of(settings, process, replica):
+    """The writer of a process of the file. Raises BadLine."""
+    store = patiently(lambda: Store(process.folder))
+    writer = Writer(
+        replica, settings.keys, lambda line: patiently(lambda: store.keep(line)), store.lines
+    )  # it writes down its epoch
+    writer.keep = store.keep
+    return writer
 
 
 def host_of(settings, process, reactor, system=System):
@@ -41,8 +66,7 @@
         node_rate=lambda name: None if name in relays else settings.node_rate,
     )
     if writes:
-        store = Store(process.folder)
-        host.writer = Writer(replica, settings.keys, store.keep, store.lines)
+        host.writer = writer_of(settings, process, replica)
         host.put_at = lambda: int(System.wall() * 1_000)
     return host
 
--- a/lilacdyke/changes/writer.py
+++ b/lilacdyke/changes/writer.py
@@ -21,6 +21,10 @@
     """A change that cannot be put. Says why in one line that names the key."""
 
 
+class NotKeptError(RefusedError):
+    """A change that could not be written down."""
+
+
 class Begun(msgspec.Struct, frozen=True, tag='epoch'):
     """A line of the writer's file: an epoch begins."""
 
@@ -97,7 +101,8 @@
         """Put a change; it, or a RefusedError. at: Unix time in milliseconds."""
         items = [Item(key, value) for key, value in items]
         self.check(kind, items)
-        change = Change(self.log.position.sequence + 1, kind, items, at)
+        # By a clock that was stepped back a change would count as older than those before it.
+        change = Change(self.log.position.sequence + 1, kind, items, max(at, self.log.newest))
         self.keep(Put(change))
         self.remember(change)
         self.replica.put(change)
--- a/tests/changes/test_full_disk.py
+++ b/tests/changes/test_full_disk.py
@@ -109,6 +109,17 @@
     def test_a_disk_that_takes_nothing(self):
         self.assert_keeps_its_word({'call': 'write', 'errno': errno.ENOSPC})
 
+    def test_a_start_while_the_disk_fails_for_a_moment(self):
+        self.assertTrue(self.put(1))
+        for call, number in (('fsync', errno.EIO), ('write', errno.ENOSPC), ('open', errno.ENFILE)):
+            with self.subTest(call=call):
+                self.kill()
+                self.board.put(calls=[{'call': call, 'errno': number, 'first': 2, 'count': 3}])
+                self.start()
+                self.board.put()
+        self.assertTrue(self.put(2))
+        self.assertEqual(self.kept(), [1, 2])
+
 
 if __name__ == '__main__':
     unittest.main()
