--- a/lilacdyke/lab/cli.py
+++ b/lilacdyke/lab/cli.py
@@ -384,6 +384,27 @@
     click.echo('written: %s' % out)
 
 
+@lab.command()
+@click.option(
+    '--every', type=click.IntRange(1), default=1, show_default=True, help='Only each such prefix of a write.'
+)
+def files(every):
+    """A writer's and a voter's file with each call failing in turn, and the process killed at each."""
+    import logging
+
+    from . import filesweep
+
+    logging.disable(logging.WARNING)
+    broken = 0
+    for scenario in filesweep.SCENARIOS:
+        count, found = filesweep.sweep(scenario, every)
+        broken += len(found)
+        click.echo('%s: %d points, %d broken' % (scenario, count, len(found)))
+        for point, wrong in found:
+            click.echo('  %s: %s' % (point, wrong))
+    sys.exit(1 if broken else 0)
+
+
 @lab.command()
 @click.argument('name', metavar='[SCENARIO]', default='calm')
 @click.option(
--- a/lilacdyke/plan/book.py
+++ b/lilacdyke/plan/book.py
@@ -12,6 +12,10 @@
 VERSION = 1
 
 
+class BookUnreadableError(BadLine):
+    """The file cannot be read now, which says nothing of what is in it."""
+
+
 class Book:
     """One voter's file: {version, bound, voters, lease}. lease: the longest that it may have promised, ticks.
     A change is written beside it, forced to the disk, and put in its place by one call to the system."""
@@ -37,7 +41,9 @@
                 raise ValueError('no book of version %d' % VERSION)
         except FileNotFoundError:
             raise BadLine('%s: there is none: lilacdyke task voter makes one' % self.path) from None
-        except (OSError, ValueError, KeyError, TypeError) as err:
+        except OSError as err:
+            raise BookUnreadableError('%s: %s' % (self.path, err.strerror)) from None
+        except (ValueError, KeyError, TypeError) as err:
             raise BadLine('%s: %s' % (self.path, ' '.join(str(err).split()) or type(err).__name__)) from None
         self.bound, self.voters, self.lease = bound, list(voters), lease
         return self
--- a/lilacdyke/plan/process.py
+++ b/lilacdyke/plan/process.py
@@ -18,6 +18,7 @@
 from ..net.tables import Deadlines
 from ..values import SECOND, BadLine
 from . import book
+from .book import BookUnreadableError
 from .lease import Lease
 from .leases import Voter
 from .limits import FORWARDERS_PER_SEAT, address, read
@@ -25,6 +26,7 @@
 from .planner import Planner
 
 FIGURES = 10 * SECOND  # between two lines of figures
+BOOK_AGAIN = SECOND // 2  # until a file of numbers that could not be read or written is tried again
 REPORT = 60 * SECOND  # between two lines of the fleet's
 SEEKERS = 1_024  # links of processes that seek tasks, beside forwarders'
 
@@ -48,9 +50,9 @@
             self.vote,
         )
         self.voter, self.book = None, None
+        self.deadlines = Deadlines(self.clock, reactor.callLater)
         if fleet.tasks is not None and self.name in fleet.voters:
             self.take_book()
-        self.deadlines = Deadlines(self.clock, reactor.callLater)
 
     def clock(self):
         """The planner's time: ticks of its own monotonic clock."""
@@ -122,9 +124,9 @@
 
     # --- voting -----------------------------------------------------------------------------------------
 
-    def take_book(self):
+    def take_book(self, _=0):
         """Vote by what a life before wrote down. Without that, or with voters that skip a step, it does not
-        vote, and says so."""
+        vote, and says so. Guards against a disk that fails for a moment: that is tried again."""
         self.book = book.Book(self.fleet.tasks.folder, self.name)
         try:
             self.book.read()
@@ -135,7 +137,11 @@
             before, lease = self.book.lease, self.fleet.task_lease
             if (self.book.voters, before) != (self.fleet.voters, lease):
                 self.book.write(self.book.bound, self.fleet.voters, max(lease, before))
-        except (BadLine, OSError) as err:
+        except (BookUnreadableError, OSError) as err:
+            warn('does not vote yet', reason=err)
+            self.deadlines.at(self.clock() + BOOK_AGAIN, self.take_book, 0)
+            return
+        except BadLine as err:
             warn('does not vote', reason=err)
             return
         self.voter = Voter(self.clock(), self.life, lease, self.keep, self.book.bound, before)
--- a/lilacdyke/trial/shim.py
+++ b/lilacdyke/trial/shim.py
@@ -17,9 +17,7 @@
 
 # ruff: noqa: TID251  it stands in place of the calls that all others may not make
 
-import builtins
 import ctypes
-import io
 import json
 import mmap
 import os
@@ -30,6 +28,7 @@
 import sys
 import time
 
+from ..lab.bentfiles import bend_files, failing
 from ..lab.callfaults import CallFaults, parsed
 
 SIZE = 65_536
@@ -123,16 +122,6 @@
     bend_moving(faults, real)
 
 
-def failing(faults, real, call):
-    """A function or method that first may fail as this kind of call does."""
-
-    def called(*given, **named):
-        faults.fail(call)
-        return real(*given, **named)
-
-    return called
-
-
 def bend_connecting(faults, real):
     """How sockets are made and connected, where a failure is told otherwise than by an exception."""
     real_init = socket.socket.__init__
@@ -190,9 +179,6 @@
 }
 
 
-FILE_FUNCTIONS = {'fsync': 'fsync', 'replace': 'rename', 'rename': 'rename', 'ftruncate': 'truncate'}
-
-
 def bend_epoll(faults):
     """Interest in descriptors. A wait that is interrupted the interpreter calls again, so none fails."""
     real = select.epoll
@@ -217,57 +203,6 @@
     select.epoll = Epoll
 
 
-def bend_files(faults):
-    """Files that are opened for writing, by `os` or by `open`; an interpreter's own reading of modules is
-    left alone."""
-    real = {name: getattr(os, name) for name in ('open', 'write', *FILE_FUNCTIONS)}
-
-    def open_(path, flags, *rest, **named):
-        if flags & (os.O_WRONLY | os.O_RDWR | os.O_DIRECTORY):
-            faults.fail('open')
-        return real['open'](path, flags, *rest, **named)
-
-    def write(fd, data):
-        size = faults.fail('write')
-        return real['write'](fd, data if size is None else data[:size])
-
-    os.open, os.write = open_, write
-    for name, call in FILE_FUNCTIONS.items():
-        setattr(os, name, failing(faults, real[name], call))
-    bend_open(faults)
-
-
-def bend_open(faults):
-    """What `open` makes for writing."""
-    real_open = builtins.open
-
-    class Raw(io.FileIO):
-        """A file whose writes may fail or fall short."""
-
-        def __init__(self, *given, **named):
-            faults.fail('open')
-            super().__init__(*given, **named)
-
-        def write(self, data):
-            size = faults.fail('write')
-            return super().write(data if size is None else bytes(data)[:size])
-
-        def truncate(self, size=None):
-            faults.fail('truncate')
-            return super().truncate(size)
-
-    def open_(file, mode='r', buffering=-1, encoding=None, errors=None, newline=None, **named):
-        if isinstance(file, int) or not set(mode) & set('wax+'):
-            return real_open(file, mode, buffering, encoding, errors, newline, **named)
-        raw = Raw(file, mode.replace('b', '').replace('t', ''))
-        if buffering == 0:
-            return raw
-        held = io.BufferedRandom(raw) if '+' in mode else io.BufferedWriter(raw)
-        return held if 'b' in mode else io.TextIOWrapper(held, encoding or 'utf-8', errors, newline)
-
-    builtins.open = io.open = open_
-
-
 def bend(path):
     """All of it, from here on; what the board says."""
     faults = Faults(path)
--- /dev/null
+++ b/tests/plan/test_book.py
@@ -0,0 +1,43 @@
+"""A voter's file of numbers on a disk that fails for a moment."""
+
+import errno
+import tempfile
+import unittest
+from unittest import mock
+
+from twisted.internet.testing import MemoryReactorClock
+
+from lilacdyke.plan import limits, process
+from lilacdyke.plan.book import Book
+
+from ..helpers import Machine
+
+FLEET = {
+    'enabled': True,
+    'installation': 'here',
+    'edition': 1,
+    'seats': 1,
+    'lease_s': 1.0,
+    'longest_s': 1.0,
+    'limit': [{'name': 'reads', 'what': 'requests', 'most': 10.0}],
+    'planner': [{'name': 'p0', 'address': '127.0.0.1:7000'}],
+}
+
+
+class TransientDisk(unittest.TestCase):
+    def test_a_voter_whose_file_cannot_be_read_at_its_start_votes_once_it_can(self):
+        with tempfile.TemporaryDirectory() as folder:
+            told = {**FLEET, 'tasks': {'folder': folder, 'lease_s': 1.0, 'voters': ['p0']}}
+            fleet = limits.check(limits.msgspec.convert(told, limits.Fleet))
+            Book(folder, 'p0').write(5, ['p0'], fleet.task_lease)
+            reactor = MemoryReactorClock()
+            with mock.patch('builtins.open', side_effect=OSError(errno.EIO, 'injected')):
+                office = process.Office(fleet, 0, reactor, Machine(reactor))
+                reactor.advance(0.2)
+            self.assertIsNone(office.voter)
+            reactor.advance(0.5)
+            self.assertEqual(office.voter.bound, 5)
+
+
+if __name__ == '__main__':
+    unittest.main()
