--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -425,6 +425,11 @@
         self.caches.events.say(
             'connect failed', server=self.server.name, why=reason_text(failure), errno=error
         )
+        if error in NO_DESCRIPTOR:
+            # Clients at the door need one as well: what waited here would keep them out.
+            self.caches.call_failed('connect', error)
+            self.without('unsent')
+            return
         if local_errno(failure) is not None:
             self.cannot_connect(error)
             return
@@ -439,8 +444,6 @@
         try comes soon, and ever later while that goes on. Guards against servers set aside, and reads
         refused, for what ends by itself."""
         self.caches.call_failed('connect', error)
-        if error in NO_DESCRIPTOR:
-            self.caches.make_way()
         for exchange in self.waiting:
             self.hold(exchange)
         if self.redial_at is None:
