A read is not refused while another of its attempts' answers goes on coming

Before a refusal or an abandonment the node now passes on what goes on coming, by the rule that already holds at the limit.

--- a/lilacdyke/lab/network.py
+++ b/lilacdyke/lab/network.py
@@ -62,6 +62,7 @@
         'dead',
         'listener',
         'asked',
+        'snapped',
     )
 
     def __init__(self, net, process):
@@ -71,6 +72,7 @@
         self.inbox, self.unread = deque(), 0
         self.eof = self.reset = self.fin_sent = self.linger = self.dead = self.defer = False
         self.error, self.outstanding, self.arrives, self.heard, self.asked = 0, 0, 0, 0, 0
+        self.snapped = False  # whether a fault is resetting it: nothing more leaves, no end either
         self.backlog, self.queue, self.pending = 0, None, 0
 
     # --- calls ------------------------------------------------------------------------------------------
@@ -403,6 +405,8 @@
 
     def carry(self, sender, data):
         """Bytes, or an end (None), leave; on one connection nothing overtakes."""
+        if sender.snapped:
+            return
         here, there = sender.local[0], sender.remote[0]
         if data and self.resets:
             chance = self.resets.get(there) or self.resets.get(here)
@@ -410,6 +414,7 @@
                 data = data[: chance[1].randrange(len(data) + 1)]
                 if data:
                     self.ship(sender, data, here, there)
+                sender.snapped = True
                 self.world.later(0, self.snap, sender)
                 return
         self.ship(sender, data, here, there)
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -635,7 +635,7 @@
 
     def pass_on_part(self, active):
         """Pass on, from here, what goes on coming; of several attempts' the one of which most is here.
-        Whether there was one."""
+        Whether there was one. Guards against a refusal, at the limit or before, of an answer that comes."""
         links = self.still_coming(active)
         if links:
             max(links, key=lambda link: len(link.reader.message.body)).pass_on_part()
@@ -747,6 +747,8 @@
 
     def do_roll_back(self, tx, after):
         """The client may safely try again."""
+        if self.pass_on_part(tx.ref):
+            return
         self.count('rolled_back')
         self.events.say('request refused', tx.ref.name, why=tx.why, attempts=len(tx.hops))
         client = self.forget(tx.ref)
@@ -760,6 +762,8 @@
 
     def do_abandon(self, tx):
         """Nothing can be promised."""
+        if self.pass_on_part(tx.ref):
+            return
         self.count('abandoned')
         self.events.say('request abandoned', tx.ref.name, why=tx.why, attempts=len(tx.hops))
         late = self.router.over(self.clock(), tx)
--- a/tests/lab/test_runs.py
+++ b/tests/lab/test_runs.py
@@ -139,3 +139,12 @@
         self.assertEqual((done.exit_code, told['broken'], rows[-1][0] in witness.ROWS), (0, [], True))
         self.assertIn('No rule broken', text)
         self.assertEqual(text.count('<img'), 4)
+
+
+class OnceBroken(unittest.TestCase):
+    """Drawn fleets in which an answer that came was refused, or a stand-in cut one off by itself."""
+
+    def test_no_rule_is_broken(self):
+        for seed in (64, 89, 114, 132, 136, 141, 152, 206, 220, 288):
+            with self.subTest(seed=seed):
+                self.assertEqual(runs.one(draw.scenario(seed)).broken, [])
