--- a/lilacdyke/lab/judges.py
+++ b/lilacdyke/lab/judges.py
@@ -16,6 +16,8 @@
 NETWORK = frozenset(('cut', 'site_cut', 'delay', 'resets', 'dribble', 'deaf', 'vanish'))
 CROWDED = frozenset(('descriptors',))
 STILL = frozenset(('standstill',))
+GUARDED = 'invariant violated'  # how a node's own guard begins its lines
+STOOD_STILL = 5_000_000  # so long after a standstill what it made late may still show
 
 
 class Broken:
@@ -161,6 +163,8 @@
     for _, at, node, why in case.by['stray']:
         found.append(Broken('answered', at, '%s sent what nobody asked for: %s' % (node, why)))
     for _, at, node, text in case.by['error']:
+        if GUARDED in text and case.troubled(STILL, at - STOOD_STILL, at, node[1:]):
+            continue  # the node's own guard says so too, and is right: its process stood still
         found.append(Broken('faults', at, '%s: %s' % (node, text)))
     return found
 
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -46,15 +46,27 @@
 class Exchange:
     """One hop under way: the client's request, until when it is waited for, and where it is."""
 
-    __slots__ = ('pool', 'message', 'until', 'wanted', 'by', 'link', 'done', 'in_part', 'held_until')
+    __slots__ = (
+        'pool',
+        'message',
+        'until',
+        'wanted',
+        'by',
+        'link',
+        'done',
+        'in_part',
+        'held_until',
+        'leaves',
+    )
 
-    def __init__(self, pool, message, until, wanted, by):
+    def __init__(self, pool, message, until, wanted, by, leaves):
         self.pool, self.message, self.until = pool, message, until
         self.in_part = None  # called with each piece of an answer whose length is not told, while it is held
         self.wanted, self.by = (
             wanted,
             by,
         )  # whether it may still leave; when it has to have left, None: at any time
+        self.leaves = leaves  # called as its first byte is to leave
         self.link = None  # the connection, once there is one
         self.held_until = None  # while this machine cannot connect: until when it waits for that
         self.done = Deferred()  # fires once, with (ending, answer or None)
@@ -110,6 +122,7 @@
         """Send a hop: at once, or what the system does not take as a pull producer, which is asked for more
         once all that it wrote has left."""
         self.exchange, exchange.link = exchange, self
+        exchange.leaves()
         self.first_piece = None
         source = exchange.message.source
         data = b''.join(request(exchange.message, max(1, exchange.until - self.pool.caches.clock())))
@@ -573,11 +586,17 @@
             if pool.server.state != 'ready':
                 pool.close_idle()
 
-    def send(self, server, message, until, wanted, repeat):
-        """Start a hop; its Exchange. wanted() tells whether it may still leave; a repeat leaves within the
-        time that a connection may take to come up, which the rule on repeats sets aside for it."""
+    def send(self, server, message, until, wanted, repeat, leaves=bool):
+        """Start a hop; its Exchange. wanted() tells whether it may still leave, leaves() is called as its
+        first byte does; a repeat leaves within the time that a connection may take to come up, which the rule
+        on repeats sets aside for it."""
         exchange = Exchange(
-            self.pools[server], message, until, wanted, self.clock() + self.within if repeat else None
+            self.pools[server],
+            message,
+            until,
+            wanted,
+            self.clock() + self.within if repeat else None,
+            leaves,
         )
         exchange.pool.send(exchange)
         return exchange
--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -74,6 +74,8 @@
         if download:
             download.source.drop()
         if active:
+            if self.closed_for:
+                self.listener.node.guard.closes(active, self.closed_for)
             self.listener.node.client_gone(active)
 
     def give_time(self, count):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -21,6 +21,7 @@
 from .caches import NOTES, Caches
 from .discovery import Discovery, read_list, started
 from .events import EventLog
+from .guard import Guard
 from .listener import Listener
 from .local_errors import name_of
 from .logs import LOG, say, warn
@@ -44,13 +45,14 @@
 class ActiveRequest:
     """A transaction that the node has taken, and the client it owes an answer."""
 
-    __slots__ = ('number', 'name', 'client', 'message', 'tx', 'attempts', 'wait', 'shared')
+    __slots__ = ('number', 'name', 'client', 'message', 'tx', 'attempts', 'wait', 'shared', 'left')
 
     def __init__(self, client, message, wait):
         self.client, self.message, self.wait = client, message, wait
         self.name = message.field(b'req-id')
         self.number = self.tx = None
         self.attempts = []  # hops under way
+        self.left = []  # (when, hop) of each that left, for the guard
         self.shared = False  # whether it counts in the fleet's limits
 
 
@@ -77,6 +79,7 @@
         self.offset = self.clock() - int(system.wall() * SECOND)
         self.chance = Random(place.seed).random
         self.router = Router(place.terms, place.seed, place.rank)
+        self.guard = Guard(self.clock, self.count, self.is_open, self.router, place.stop_within)
         self.servers, self.entries = {}, {}  # by name: the module's objects; what the list last said
         self.active_requests, self.attempts = Table(), Table()
         self.ids = set()  # what clients call the transactions that are open
@@ -439,7 +442,7 @@
 
     def client_gone(self, active):
         """A client closed without waiting for its answer."""
-        self.forget(active)
+        self.forget(active, answered=False)
         self.count('gone')
         self.events.say('client gone', active.name)
         self.router.client_gone(self.clock(), active.tx)
@@ -460,15 +463,21 @@
         nobody."""
         return self.active_requests.get(active.number) is active and not active.client.left()
 
-    def forget(self, active):
+    def forget(self, active, answered=True):
         """The client has its answer, or needs none; hops may still end, with nothing to hold on to. The
         client."""
+        if answered:
+            self.guard.answers(active)
         self.active_requests.remove(active.number)
         self.ids.discard(active.name)
         self.over(active)
         client, active.client, active.message = active.client, None, None
         return client
 
+    def is_open(self, active):
+        """Whether it is owed an answer."""
+        return self.active_requests.get(active.number) is active
+
     def over(self, active):
         """Once an active is over and no hop of it is out, what it spent of the fleet's limits is free."""
         if not active.shared or self.active_requests.get(active.number) is active:
@@ -653,6 +662,7 @@
             del self.servers[server.name]
             self.entries.pop(server.name, None)
             self.caches.forget(server)
+        self.guard.listed(self.servers.values() if whole else [row[0] for row in rows])
         self.caches.tidy()
         say('list', whole=whole, entries=len(rows), caches=len(self.router.caches))
         self.serve()
@@ -722,7 +732,12 @@
         if self.fleet:
             self.router.shares.sent(now, hop.server, self.router.presence(now, hop.server) < 1)
         attempt.exchange = self.caches.send(
-            hop.server, active.message, until, lambda: self.wanted(active), hop.index > 0
+            hop.server,
+            active.message,
+            until,
+            lambda: self.wanted(active),
+            hop.index > 0,
+            lambda: self.guard.leaves(active, hop),
         )
         attempt.exchange.in_part = lambda: self.answer_in_part(attempt)
         attempt.exchange.done.addCallback(self.arrived, attempt.number).addErrback(self.fault)
