The lab plays stepped wall clocks and failing calls, with a judge and two mutants

Trouble calls, step forward and back; both drawn, apart from the rest, in one fleet of three.

A TCP_NODELAY that cannot be set was logged as an error with a trace; it is left unset.

--- a/lilacdyke/lab/draw.py
+++ b/lilacdyke/lab/draw.py
@@ -8,6 +8,7 @@
 
 from msgspec.structs import replace
 
+from .faults import OWN_FAILURES
 from .scenario import (
     Bound,
     Caches,
@@ -89,6 +90,10 @@
 }
 
 
+# Seconds by which a wall clock is stepped.
+STEPS_S = (-3_600.0, -20.0, -3.0, -0.5, 3.0, 20.0, 3_600.0)
+
+
 def profiles(shape, chance):
     """The profiles of a shape."""
     work = chance.uniform(12, 30)
@@ -232,7 +237,29 @@
         limits=Limits(sockets=chance.choice([1024, 256])),
         events=timeline(chance, length, kinds or KINDS, most),
     )
-    return check(with_large_bodies(made, seed))
+    return check(with_failing_machines(with_large_bodies(made, seed), seed))
+
+
+def with_failing_machines(made, seed):
+    """In one fleet of three the machines of some nodes fail: wall clocks are stepped, calls fail for a
+    moment. Drawn apart, so that the rest of a seed's scenario stays what it was."""
+    chance = Random('machines/%d' % seed)
+    if chance.random() >= 1 / 3:
+        return made
+    found = []
+    for _ in range(chance.randint(1, 3)):
+        kind = chance.choice(('step', 'calls'))
+        size = chance.choice(STEPS_S) if kind == 'step' else chance.randint(1, len(OWN_FAILURES))
+        found.append(
+            Event(
+                at_s=round(chance.uniform(0, made.length_s * 0.7), 3),
+                kind=kind,
+                count=chance.choice([1, 1, 2, 3]),
+                for_s=round(chance.uniform(0.02, 0.4), 3),
+                size=size,
+            )
+        )
+    return replace(made, events=sorted([*made.events, *found], key=lambda event: event.at_s))
 
 
 def with_large_bodies(made, seed):
--- a/lilacdyke/lab/faults.py
+++ b/lilacdyke/lab/faults.py
@@ -4,6 +4,9 @@
 they are left out and said so. Must never know how nodes are built, nor tell them anything.
 """
 
+import errno
+
+from .callfaults import CallFault, CallFaults
 from .scenario import TARGETS, Kind
 
 NETWORK = (
@@ -22,6 +25,18 @@
     'cut_planner',
     'lie',
     'site_cut',
+    'calls',
+)
+# Calls that fail for a while with an errno that tells of the machine alone: (call, errno).
+OWN_FAILURES = (
+    *(
+        ('connect', number)
+        for number in (errno.ENOBUFS, errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EAGAIN)
+    ),
+    *((call, number) for call in ('socket', 'accept') for number in (errno.ENOBUFS, errno.ENOMEM)),
+    *((call, number) for call in ('send', 'recv') for number in (errno.ENOBUFS, errno.ENOMEM)),
+    *((call, errno.ENOBUFS) for call in ('setsockopt', 'getsockopt')),
+    ('accept', errno.ECONNABORTED),
 )
 # Those that only the trial's relays and processes have (trial/faults.py).
 RELAYS = ('way_cut', 'way_tear', 'way_late', 'way_thin', 'way_reset', 'way_refuse', 'way_replay', 'starve')
@@ -414,7 +429,22 @@
         """Its wall clock is stepped: so many seconds ahead."""
         for place in self.places(what):
             if place.running is not None:
-                place.running.system.ahead += event.size
+                place.running.reactor.step(event.size)
+
+    def do_calls(self, index, event, what, span, chance):
+        """Calls of the machine fail: which ones and how, `size` tells, by its place in OWN_FAILURES."""
+        call, number = OWN_FAILURES[(int(event.size) - 1) % len(OWN_FAILURES)]
+        for place in self.places(what):
+            if place.running is not None:
+                self.fail_calls(place.running.process, call, number, span)
+
+    def fail_calls(self, process, call, number, span):
+        """Have a process's calls of one kind fail for so long."""
+        if process.calls is None:
+            process.calls = CallFaults(self.stage.clock)
+        rule = CallFault(call, number, until=self.stage.clock() + span)
+        process.calls.add(rule)
+        self.stage.later(span, process.calls.remove, rule)
 
     def do_descriptors(self, index, event, what, span, chance):
         """Something else in the process holds all descriptors but a few."""
--- a/lilacdyke/lab/ground.py
+++ b/lilacdyke/lab/ground.py
@@ -33,12 +33,16 @@
     """What a simulated node is told of its machine; as net/system.System."""
 
     def __init__(self, reactor, process):
-        self.elapsed, self.reactor, self.process, self.ahead = reactor.seconds, reactor, process, 0.0
+        self.elapsed, self.reactor, self.process = reactor.monotonic, reactor, process
+        self.wall_readings, self.wall_read = 0, None  # how often it was read; called with that each time
         self.world = reactor.world
 
     def wall(self):
         """Unix time, with what its clock was stepped by."""
-        return EPOCH_MS / 1_000 + self.world.now / 1e6 + self.ahead
+        self.wall_readings += 1
+        if self.wall_read is not None:
+            self.wall_read(self.wall_readings)
+        return EPOCH_MS / 1_000 + self.world.now / 1e6 + self.reactor.ahead
 
     def descriptors(self):
         return self.process.limit if self.process.limit < 1 << 29 else 0
--- a/lilacdyke/lab/judges.py
+++ b/lilacdyke/lab/judges.py
@@ -16,6 +16,9 @@
 NETWORK = frozenset(('cut', 'site_cut', 'delay', 'resets', 'dribble', 'deaf', 'vanish'))
 CROWDED = frozenset(('descriptors',))
 STILL = frozenset(('standstill',))
+MACHINE = frozenset(('calls', 'step'))  # troubles of a node's own machine
+OPEN_WITHIN, OPEN_FOR = 500_000, 2_500_000  # from and until when after one clients are served again
+OPEN_ASKS, OPEN_SHARE = 8, 0.25  # of so many requests such a part, at the least, is sent on
 GUARDED = 'invariant violated'  # how a node's own guard begins its lines
 STOOD_STILL = 5_000_000  # so long after a standstill what it made late may still show
 
@@ -175,6 +178,27 @@
     return case.troubled({'dribble'}, begin, end)
 
 
+def open_again(case):
+    """A node whose own machine failed for a moment asks servers again soon: of what clients then ask some
+    reaches one, however many it refuses."""
+    found, reached = [], {row[4] for row in case.by['hop']}
+    for _, at, kind, what, until in case.by['fault']:
+        others = [spell for spell in case.spells if spell[0] not in MACHINE]
+        if kind != 'calls' or any(begin <= until + OPEN_FOR and at <= end for _, _, begin, end in others):
+            continue
+        for number in filter(None, what.split(',')):
+            asked = [
+                row[2]
+                for row in case.by['ask']
+                if row[4] == 'n' + number and until + OPEN_WITHIN <= row[1] <= until + OPEN_FOR
+            ]
+            sent = len(reached.intersection(asked))
+            if len(asked) >= OPEN_ASKS and sent < len(asked) * OPEN_SHARE:
+                text = 'n%s sent %d of %d requests on' % (number, sent, len(asked))
+                found.append(Broken('open', until, text))
+    return found
+
+
 # --- no effect twice --------------------------------------------------------------------------------------
 
 
@@ -857,6 +881,7 @@
     'answered': answered,
     'once': once,
     'forsaken': forsaken,
+    'open': open_again,
     'cancelled': cancelled,
     'drains': drains,
     'hands': hands,
--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -26,9 +26,29 @@
 from ..plan.verdicts import Sight, Verdict
 from ..plan.view import View
 from . import draw
+from .reactor import SimReactor
 from .scenario import Bound, Event, check
 
 
+def stepped_back(made):
+    """The wall clock of all nodes goes back by some seconds, and nothing else is wrong."""
+    return replace(made, events=[Event(at_s=1.0, kind='step', what=list(range(made.nodes)), size=-3.0)])
+
+
+def cannot_connect(made):
+    """No connection can be made at any node for two seconds; there is one server, and connections do not rest
+    for long."""
+    nodes = list(range(made.nodes))
+    return replace(
+        made,
+        length_s=8.0,
+        kinds=[replace(made.kinds[0], count=1, cores=4, speed=1.0, connections=600)],
+        load=replace(made.load, rate=30.0, write_bytes=100, large_share=0.0),
+        caches=replace(made.caches, idle_s=0.2, mode='through', warm_share=1.0),
+        events=[Event(at_s=2.0, kind='calls', what=nodes, for_s=2.0, size=1.0)],
+    )
+
+
 class Mutant:
     """One way to be broken. kinds: troubles under which it should show; most: how many of them a run has."""
 
@@ -183,6 +203,14 @@
     put(Node, 'entry', entry)
 
 
+def timers_on_wall_time(put, chance):
+    put(SimReactor, 'seconds', lambda self: self.monotonic() + self.ahead)
+
+
+def blames_servers(put, chance):
+    put(caches, 'local_errno', lambda failure: None)
+
+
 def hop_leaked(put, chance):
     usual = Router.hop_ended
 
@@ -1217,6 +1245,20 @@
             3,
             draw.watched,
         ),
+        (
+            'timers_on_wall_time',
+            'sets its timers by a wall clock that is stepped',
+            timers_on_wall_time,
+            (),
+            stepped_back,
+        ),
+        (
+            'blames_servers',
+            "holds its own machine's failures against servers",
+            blames_servers,
+            (),
+            cannot_connect,
+        ),
         ('slots_reused', "gives a slot's number out again", slots_reused, ('slow', 'hung', 'halved')),
     )
 }
--- a/lilacdyke/lab/network.py
+++ b/lilacdyke/lab/network.py
@@ -83,7 +83,18 @@
     def setblocking(self, flag):
         """It never blocks."""
 
+    def size_for(self, call):
+        """The most bytes that a call may move; None: all. Raises the OSError that it fails with, if any."""
+        calls = self.process.calls
+        if calls is None:
+            return None
+        rule = calls.check(call)
+        if rule is not None and rule.errno:
+            raise OSError(rule.errno, 'injected')
+        return None if rule is None else rule.size
+
     def setsockopt(self, level, option, value):
+        self.size_for('setsockopt')
         if level == socket.SOL_SOCKET and option == socket.SO_LINGER:
             self.linger = True  # Twisted asks for that only to reset
         elif level == socket.IPPROTO_TCP and option == socket.TCP_DEFER_ACCEPT:
@@ -91,14 +102,24 @@
 
     def getsockopt(self, level, option, size=0):
         if level == socket.SOL_SOCKET and option == socket.SO_ERROR:
-            error, self.error = self.error, 0
-            return error
+            return self.failed_with()
+        self.size_for('getsockopt')
         if level == socket.IPPROTO_TCP and option == socket.TCP_INFO:
             state = CLOSED if self.reset else CLOSE_WAIT if self.eof else ESTABLISHED
             waited = (self.net.world.now - self.heard) // 1_000
             return pack('=B51xI', state, min(waited, 0xFFFFFFFF))[:size]
         return 0
 
+    def failed_with(self):
+        """What became of connecting, as SO_ERROR tells: an errno, or 0."""
+        try:
+            self.size_for('connected')
+        except OSError as err:
+            self.state = 'failed'
+            return err.errno
+        error, self.error = self.error, 0
+        return error
+
     def bind(self, address):
         if address[1] and address in self.net.listeners:
             raise OSError(EADDRINUSE, 'address in use')
@@ -120,6 +141,7 @@
         """The next connection; EMFILE with no descriptor left, as a real one has it."""
         if not self.queue:
             raise BlockingIOError(EAGAIN, 'nobody')
+        self.size_for('accept')
         if self.process.full():
             raise OSError(EMFILE, 'too many open files')
         came = self.queue.popleft()
@@ -134,6 +156,10 @@
             return EISCONN
         if self.state == 'failed':
             return self.error or ECONNREFUSED
+        try:
+            self.size_for('connect')
+        except OSError as err:
+            return err.errno
         self.remote, self.state = address, 'connecting'
         if self.local is None:
             self.local = (self.process.address, self.net.port())
@@ -146,7 +172,8 @@
             raise OSError(EPIPE if self.fin_sent else ECONNRESET, 'connection is over')
         if self.state != 'open':
             raise OSError(ENOTCONN, 'not connected')
-        room = min(WINDOW - self.outstanding, self.net.allowed(self))
+        size = self.size_for('send')
+        room = min(WINDOW - self.outstanding, self.net.allowed(self), WINDOW if size is None else size)
         if room <= 0:
             raise BlockingIOError(EAGAIN, 'full')
         data = bytes(data[:room])
@@ -161,6 +188,8 @@
             if self.eof:
                 return b''
             raise BlockingIOError(EAGAIN, 'nothing')
+        size = self.size_for('recv')
+        count = count if size is None else min(count, size)
         first = self.inbox[0]
         if flags & socket.MSG_PEEK:
             return bytes(first[:count])
@@ -182,6 +211,7 @@
     def shutdown(self, how):
         if self.state != 'open' or self.reset:
             raise OSError(ENOTCONN, 'not connected')
+        self.size_for('shutdown')
         if how >= 1 and not self.fin_sent:
             self.fin_sent = True
             self.net.carry(self, None)
@@ -283,17 +313,20 @@
 class Process:
     """Who holds descriptors on a machine."""
 
-    __slots__ = ('net', 'name', 'address', 'limit', 'open', 'most')
+    __slots__ = ('net', 'name', 'address', 'limit', 'open', 'most', 'calls')
 
     def __init__(self, net, name, address, limit=1 << 30):
         self.net, self.name, self.address, self.limit = net, name, address, limit
         self.open, self.most = {}, 0  # by descriptor, the oldest first
+        self.calls = None  # its calls that fail, where some do (callfaults.py)
 
     def full(self):
         return len(self.open) >= self.limit
 
     def socket(self):
         """A new one, with a descriptor."""
+        if self.calls is not None:
+            self.calls.raise_for('socket')
         if self.full():
             raise OSError(EMFILE, 'too many open files')
         return self.give(Socket(self.net, self))
--- a/lilacdyke/lab/reactor.py
+++ b/lilacdyke/lab/reactor.py
@@ -75,7 +75,62 @@
         return self.reactor.process.socket()
 
 
-class SimReactor(AnswersFirst, PatientReactor, PosixReactorBase, _PollLikeMixin):
+class SimDescriptors(PosixReactorBase, _PollLikeMixin):
+    """Which simulated descriptors a process looks at."""
+
+    def _update(self, selectable):
+        fd = selectable.fileno()
+        mask = (EPOLLIN if fd in self._reads else 0) | (EPOLLOUT if fd in self._writes else 0)
+        made = self.process.open.get(fd)
+        if made is not None:
+            self._poller.watch(made, fd, mask)
+        else:
+            self._poller.interest.pop(fd, None)
+            self._poller.hot.pop(fd, None)
+        if mask:
+            self._selectables[fd] = selectable
+        else:
+            self._selectables.pop(fd, None)
+
+    def _put(self, held, selectable):
+        fd = selectable.fileno()
+        if fd not in held:
+            held.add(fd)
+            self._update(selectable)
+
+    def _drop(self, held, selectable):
+        fd = selectable.fileno()
+        if fd in held:
+            held.discard(fd)
+            self._update(selectable)
+
+    def addReader(self, selectable):
+        self._put(self._reads, selectable)
+
+    def addWriter(self, selectable):
+        self._put(self._writes, selectable)
+
+    def removeReader(self, selectable):
+        self._drop(self._reads, selectable)
+
+    def removeWriter(self, selectable):
+        self._drop(self._writes, selectable)
+
+    def removeAll(self):
+        gone = list(self._selectables.values())
+        for selectable in gone:
+            self.removeReader(selectable)
+            self.removeWriter(selectable)
+        return gone
+
+    def getReaders(self):
+        return [self._selectables[fd] for fd in sorted(self._reads)]
+
+    def getWriters(self):
+        return [self._selectables[fd] for fd in sorted(self._writes)]
+
+
+class SimReactor(AnswersFirst, PatientReactor, SimDescriptors):
     """A process's own. clock: (offset, rate) of its monotonic clock against the world's."""
 
     _POLL_DISCONNECTED, _POLL_IN, _POLL_OUT = ALWAYS, EPOLLIN, EPOLLOUT
@@ -87,6 +142,7 @@
         self.cost, self.busy, self.frozen, self.alive = cost, 0, 0, True
         self._poller, self._selectables, self._reads, self._writes = Poller(self), {}, set(), set()
         self.pending, self.inside = None, False
+        self.ahead = 0.0  # seconds by which the machine's wall clock was stepped
         super().__init__()
 
     def installWaker(self):
@@ -97,13 +153,20 @@
 
     # --- time -------------------------------------------------------------------------------------------
 
-    def seconds(self):
+    def monotonic(self):
         """The process's monotonic clock."""
         return (self.offset + (self.world.now - self.anchor) * self.rate) / MICRO
 
+    seconds = monotonic  # by which timers are set
+
+    def step(self, seconds):
+        """The machine's wall clock is ahead by so much more from now on."""
+        self.ahead += seconds
+        self.wake()
+
     def drift(self, rate):
         """The clock runs at another rate from now on."""
-        self.offset, self.anchor, self.rate = int(self.seconds() * MICRO), self.world.now, rate
+        self.offset, self.anchor, self.rate = int(self.monotonic() * MICRO), self.world.now, rate
         self.wake()
 
     def callLater(self, delay, call, *given, **named):
@@ -123,7 +186,7 @@
         if not self.alive or self.inside:
             return
         now = self.world.now
-        when = now if at is None else max(now, self.anchor + int((at * MICRO - self.offset) / self.rate) + 1)
+        when = now if at is None else max(now, now + int((at - self.seconds()) * MICRO / self.rate) + 1)
         when = max(when, self.busy, self.frozen)
         if self.pending is None or when < self.pending[0]:
             if self.pending is not None:
@@ -176,59 +239,6 @@
         self.alive = False
         self.process.die()
 
-    # --- descriptors ------------------------------------------------------------------------------------
-
-    def _update(self, selectable):
-        fd = selectable.fileno()
-        mask = (EPOLLIN if fd in self._reads else 0) | (EPOLLOUT if fd in self._writes else 0)
-        made = self.process.open.get(fd)
-        if made is not None:
-            self._poller.watch(made, fd, mask)
-        else:
-            self._poller.interest.pop(fd, None)
-            self._poller.hot.pop(fd, None)
-        if mask:
-            self._selectables[fd] = selectable
-        else:
-            self._selectables.pop(fd, None)
-
-    def _put(self, held, selectable):
-        fd = selectable.fileno()
-        if fd not in held:
-            held.add(fd)
-            self._update(selectable)
-
-    def _drop(self, held, selectable):
-        fd = selectable.fileno()
-        if fd in held:
-            held.discard(fd)
-            self._update(selectable)
-
-    def addReader(self, selectable):
-        self._put(self._reads, selectable)
-
-    def addWriter(self, selectable):
-        self._put(self._writes, selectable)
-
-    def removeReader(self, selectable):
-        self._drop(self._reads, selectable)
-
-    def removeWriter(self, selectable):
-        self._drop(self._writes, selectable)
-
-    def removeAll(self):
-        gone = list(self._selectables.values())
-        for selectable in gone:
-            self.removeReader(selectable)
-            self.removeWriter(selectable)
-        return gone
-
-    def getReaders(self):
-        return [self._selectables[fd] for fd in sorted(self._reads)]
-
-    def getWriters(self):
-        return [self._selectables[fd] for fd in sorted(self._writes)]
-
     # --- TCP --------------------------------------------------------------------------------------------
 
     def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
--- a/lilacdyke/lab/scenario.py
+++ b/lilacdyke/lab/scenario.py
@@ -229,6 +229,7 @@
     'standstill',
     'clock',
     'step',
+    'calls',
     'descriptors',
     'suspend',
     'away',
@@ -285,6 +286,7 @@
     'standstill': 'node',
     'clock': 'node',
     'step': 'node',
+    'calls': 'node',
     'descriptors': 'node',
     'dribble': 'node',
     'silence': 'node',
@@ -314,7 +316,7 @@
     what: list[Natural] = []
     count: Annotated[int, Meta(ge=1, le=100_000)] = 1
     for_s: Amount = 5.0
-    size: Annotated[float, Meta(ge=0, le=1000)] = 4.0
+    size: Annotated[float, Meta(ge=-3600, le=3600)] = 4.0  # below 0 for a step back only
 
 
 class Scenario(Part):
@@ -374,6 +376,8 @@
         'planner': scenario.planning.planners,
     }
     for index, event in enumerate(scenario.events):
+        if event.size < 0 and event.kind != 'step' or event.size > 1000 and event.kind != 'step':
+            raise BadScenario('events[%d]: size: %g' % (index, event.size))
         target = TARGETS.get(event.kind)
         if event.what and target is None:
             raise BadScenario('events[%d]: %s has no target' % (index, event.kind))
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -20,8 +20,9 @@
 KEPT = 0.6  # of the server's idle time, until an idle connection is closed
 SETTLED = 100  # after an answer, until its connection is trusted with the next hop
 # Ticks until the first and the longest wait for the next try after a connection that this machine could not
-# make; for so small a part of its time a hop waits for that.
-REDIAL_LEAST, REDIAL_MOST, HELD_PART = 50, 1_000, 8
+# make; a hop waits for that for so small a part of its time, and no longer than so many, as what gathers
+# meanwhile comes to the server at once.
+REDIAL_LEAST, REDIAL_MOST, HELD_PART, HELD_MOST = 50, 500, 8, 2_500
 CROWDED = 3 * SETTLED  # how long a connection rests where a server has no place for more
 NOTES = {b'hit': 1, b'miss': 2, b'pending': 3}
 
@@ -473,7 +474,7 @@
         and for an answer in time."""
         if exchange.held_until is None:
             now = self.caches.clock()
-            exchange.held_until = now + max(0, exchange.until - now) // HELD_PART
+            exchange.held_until = now + min(HELD_MOST, max(0, exchange.until - now) // HELD_PART)
 
     def redial(self):
         """Try again for the hops that still wait, with one connection until it is known that others can be
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -232,8 +232,8 @@
 
 def no_delay(transport):
     """Have small writes leave at once; a connection that cannot is used all the same."""
-    with suppress(OSError):
-        transport.setTcpNoDelay(True)
+    with suppress(OSError, AttributeError):  # the latter: a transport of tests, without a socket
+        transport.getHandle().setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 def left(transport):
