Starts in lists, times handed over and the order of elders go by no wall clock

From the audit, each with a test: (1) a list's start times were turned into the node's clock by Unix time read at its start; a clock that was ahead then made cold servers look warm. A start that is told as news is held for no older than 5 s before discovery's last word, one in the future for now, and the same entry always gives the same start (net/starts.py). (2) An elder gave times in its own Unix time, which an heir read by another; it tells both its clocks now, and the heir uses the machine's monotonic one; an older elder's are read as before. (3) Elders were asked by their sockets' file times; now by their processes' starts since boot. (4) Staff are told: wall clock stepped, by_ms, clock_steps in figures.

--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -12,9 +12,10 @@
 from ..net.bodies import Download, Upload
 from ..net.caches import Caches, Link
 from ..net.client import ClientConnection
-from ..net.discovery import Discovery
+from ..net.discovery import Discovery, started
 from ..net.node import Node
 from ..net.phases import Phases
+from ..net.starts import StartTimes
 from ..net.tables import Deadlines, Table
 from ..plan import belief, verdicts
 from ..plan.belief import Belief, Seen
@@ -25,6 +26,7 @@
 from ..plan.shares import Shares, Spent
 from ..plan.verdicts import Sight, Verdict
 from ..plan.view import View
+from ..values import SECOND
 from . import draw
 from .reactor import SimReactor
 from .scenario import Bound, Event, check
@@ -192,15 +194,13 @@
 
 
 def clock_mistaken(put, chance):
-    usual = Node.entry
-
-    def entry(self, given):
-        self.offset -= 10_000 * 3600
-        made = usual(self, given)
-        self.offset += 10_000 * 3600
-        return made
-
-    put(Node, 'entry', entry)
+    put(
+        StartTimes,
+        'of',
+        lambda self, entry, now, last_word: (
+            started(entry, self.offset - 3_600 * SECOND) if entry.started else None
+        ),
+    )
 
 
 def timers_on_wall_time(put, chance):
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -131,7 +131,7 @@
             if line and (whole := self.joined(line)):
                 self.discovery.told(read_list(json.loads(whole)))
             if not self.open:
-                self.discovery.whole = self.discovery.heard
+                self.discovery.whole = self.discovery.last_word = self.discovery.heard
         if len(self.line) + len(self.open) > MAX_LIST:
             raise BadLine('line too long')
         if self.chunks.ended:
@@ -176,6 +176,7 @@
         )  # when the watch last said something; when its last whole line came, or it was opened
         self.turn = 0  # one more with each watch: a retry that another overtook is void
         self.backing_off = False  # whether a retry is due
+        self.last_word = None  # when a whole line last came; None: never
         self.redials = 0  # calls of this machine that failed in a row
 
     def close(self):
--- a/lilacdyke/net/handover.py
+++ b/lilacdyke/net/handover.py
@@ -31,9 +31,20 @@
 MOST = 4 << 20  # the longest line
 MOST_ASKED = 8  # sockets that are asked; a node killed again and again leaves stale ones
 PATH_MOST = 100  # the longest path that a Unix socket may have, with some to spare
+STAT_START = 19  # the place of a process's start in /proc/PID/stat, behind its name
 CALLS = ('suspend', 'resume', 'empty', 'activate')
 
 
+def started_at(process):
+    """When a process of this number started, in the machine's ticks since it was booted; -1 where there is
+    none. A file's time would be the wall clock's, which may have been stepped between two processes."""
+    try:
+        with open('/proc/%d/stat' % int(process), encoding='utf-8', errors='replace') as file:
+            return int(file.read().rpartition(')')[2].split()[STAT_START])
+    except (OSError, ValueError, IndexError):
+        return -1
+
+
 @implementer(IFileDescriptorReceiver)
 class Link(Protocol):
     """One end of the link."""
@@ -183,15 +194,19 @@
         self.begin = begin
         try:
             found = [name for name in os.listdir(self.folder) if name.startswith(self.prefix)]
-            found = [(os.stat(os.path.join(self.folder, name)), name) for name in found]
+            found = [name for name in found if self.is_socket(name)]
         except OSError as err:
             warn('no look into the private folder', reason=err)
             found = []
-        found = [(told.st_mtime_ns, name) for told, name in found if stat.S_ISSOCK(told.st_mode)]
-        self.names = [name for _, name in sorted(found)][-MOST_ASKED:]  # the latest is asked first
+        found.sort(key=lambda name: (started_at(name.removeprefix(self.prefix)), name))
+        self.names = found[-MOST_ASKED:]  # the latest process is asked first
         self.deadlines.at(self.clock() + ANSWERS, self.silent, 0)
         self.next_elder()
 
+    def is_socket(self, name):
+        """Whether a name in the private folder is a socket's."""
+        return stat.S_ISSOCK(os.stat(os.path.join(self.folder, name)).st_mode)
+
     def next_elder(self):
         """Ask the next, if there is one."""
         self.elder = None
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -19,13 +19,14 @@
 from ..values import SECOND, BadLine, seconds
 from . import http
 from .caches import NOTES, Caches
-from .discovery import Discovery, read_list, started
+from .discovery import Discovery, read_list
 from .events import EventLog
 from .guard import Guard
 from .listener import Listener
 from .local_errors import name_of
 from .logs import LOG, say, warn
 from .sockets import Reactor, unread_for
+from .starts import StartTimes
 from .system import System
 from .tables import Deadlines, Table
 
@@ -39,6 +40,7 @@
 HEAD_START = 4  # of a request's time the last part, 1 to this, is kept for passing on an answer held in part
 COMING_PART = 16  # for such a part of its time an answer must have come piece by piece
 FIGURES = 10 * SECOND  # between two lines of figures
+STEP_SECONDS = 0.1  # of a wall clock, from which on staff are told
 MILLISECOND = SECOND // 1_000
 
 
@@ -76,7 +78,9 @@
         reactor.call_failed = self.call_failed
         self.phase = STARTING
         self.zero = self.elapsed() - 1  # the module's clock starts at one second
-        self.offset = self.clock() - int(system.wall() * SECOND)
+        # Unix time is read here once, for lists; what a step does to it later changes nothing.
+        self.starts = StartTimes(self.clock() - int(system.wall() * SECOND))
+        self.wall_ahead = system.wall() - self.elapsed()  # as last seen: a step changes it
         self.chance = Random(place.seed).random
         self.router = Router(place.terms, place.seed, place.rank)
         self.guard = Guard(self.clock, self.count, self.is_open, self.router, place.stop_within)
@@ -172,6 +176,7 @@
         self.settle()
         self.deadlines.at(self.clock() + FIRST_WORD, self.no_word, 0)
         self.deadlines.at(self.clock() + FIGURES, self.figures, 0)
+        self.deadlines.at(self.clock() + SECOND, self.look_at_wall_clock, 0)
 
     def no_word(self, _):
         """Guards against clients that wait at the door until their time is up: a call to discovery may wait
@@ -382,13 +387,16 @@
         """What an heir must know, as plain values; times as ticks of Unix time."""
         usual, servers = self.router.legacy(self.clock())
         hand = {
-            name: [since - self.offset, back and back - self.offset]
+            name: [since - self.starts.offset, back and back - self.starts.offset]
             for name, (since, back) in self.router.hand.items()
         }
         listed = [entry.row() for name, entry in self.entries.items() if name in self.router.known]
         return {
             'away': self.gone_away,
             'hand': hand,
+            # By these an heir turns the times above into its own clock's without either's Unix time.
+            'elapsed': self.elapsed(),
+            'unix': self.clock() - self.starts.offset,
             'usual': usual,
             'servers': servers,
             'list': {'generation': self.discovery.version or 0, 'reset': True, 'instances': listed},
@@ -398,15 +406,27 @@
         """Go on with what an elder gave."""
         try:
             self.gone_away = told['away'] is True
+            offset = self.offset_to(told)
             for name, (since, back) in told['hand'].items():
-                self.router.hand[name] = (since + self.offset, back and back + self.offset)
+                self.router.hand[name] = (since + offset, back and back + offset)
             self.router.list_remembered(
                 self.clock(), [self.router.row(s) for s in self.router.known.values()]
             )
             self.router.inherit(self.clock(), told['usual'], told['servers'])
+            for name, server in self.router.known.items():
+                self.starts.inherited(name, server.started)
         except (KeyError, TypeError, ValueError, AttributeError) as err:
             warn('hand-over not read', reason=repr(err))
 
+    def offset_to(self, told):
+        """What turns an elder's times into this clock's. Both processes are on one machine, whose monotonic
+        clock they share; its wall clock may have been stepped between their starts. An elder of an older
+        version tells Unix times alone."""
+        if not ('elapsed' in told and 'unix' in told):
+            return self.starts.offset
+        elders_now = told['unix'] + int((self.elapsed() - told['elapsed']) * SECOND)
+        return self.clock() - elders_now
+
     # --- clients ----------------------------------------------------------------------------------------
 
     def take(self, client, message, row, key, wait, since):
@@ -661,6 +681,7 @@
             # were.
             del self.servers[server.name]
             self.entries.pop(server.name, None)
+            self.starts.forget(server.name)
             self.caches.forget(server)
         self.guard.listed(self.servers.values() if whole else [row[0] for row in rows])
         self.caches.tidy()
@@ -680,7 +701,8 @@
         self.caches.listed(server, entry.address)
         self.entries[entry.name] = entry
         zone = self.place.zones.get(entry.zone, entry.zone)  # one that the settings do not name is no other's
-        return (server, entry.state, entry.weight, started(entry, self.offset), zone, entry.cell)
+        start = self.starts.of(entry, self.clock(), self.discovery.last_word)
+        return (server, entry.state, entry.weight, start, zone, entry.cell)
 
     def list_lost(self):
         """The watch has ended."""
@@ -805,6 +827,15 @@
         """One more of these."""
         self.counts[what] += 1
 
+    def look_at_wall_clock(self, _):
+        """Tell staff of a wall clock that was stepped. Nothing here goes by it."""
+        ahead = self.system.wall() - self.elapsed()
+        by, self.wall_ahead = ahead - self.wall_ahead, ahead
+        if abs(by) > STEP_SECONDS:
+            self.count('clock_steps')
+            warn('wall clock stepped', by_ms=int(by * 1_000))
+        self.deadlines.at(self.clock() + SECOND, self.look_at_wall_clock, 0)
+
     def figures(self, _):
         """A line of counts since the start."""
         say(
--- a/lilacdyke/plan/view.py
+++ b/lilacdyke/plan/view.py
@@ -5,7 +5,6 @@
 """
 
 from ..known import NO_WORD
-from ..net.discovery import started
 from ..net.logs import say
 from ..values import SECOND
 from .belief import FAILING, SILENT, Belief, Seen
@@ -49,7 +48,7 @@
         """(name, start) as lists have it; None for one that this node knows to be another process than its
         list says."""
         entry = self.node.entries.get(server.name)
-        if entry is None or started(entry, self.node.offset) != server.started:
+        if entry is None or self.node.starts.current(entry) != server.started:
             return None
         return server.name, int(entry.started)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -261,10 +261,11 @@
 
 
 class Machine(System):
-    """This one, but for the clock, which is a reactor's."""
+    """This one, but for the clocks, which are a reactor's."""
 
     def __init__(self, reactor):
         self.elapsed = reactor.seconds
+        self.wall = lambda: 1_700_000_000.0 + reactor.seconds()
 
 
 def unbegun(**other):
--- a/tests/plan/test_view.py
+++ b/tests/plan/test_view.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from lilacdyke.known import NO_WORD, Server
+from lilacdyke.net.starts import StartTimes
 from lilacdyke.plan.view import View
 
 SPAN, GOAL = 60_000, 4_000
@@ -27,9 +28,9 @@
             clock=lambda: self.now,
             chance=lambda: 1.0,
             router=router,
-            offset=0,
+            starts=StartTimes(0),
             deadlines=SimpleNamespace(at=lambda when, call, given: None),
-            entries={server.name: SimpleNamespace(started=0) for server in caches},
+            entries={server.name: SimpleNamespace(name=server.name, started=0) for server in caches},
             place=SimpleNamespace(terms=SimpleNamespace(zone=0)),
         )
         self.view, self.seq = View(self.node, SPAN, ['p0', 'p1']), 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -974,8 +974,10 @@
 
     def test_unix_time_becomes_the_modules(self):
         made = node()
-        self.assertEqual(started(Entry(entry('c', startedAtMs=-made.offset / 10)), made.offset), 0)
-        self.assertIsNone(started(Entry(entry('c')), made.offset))
+        self.assertEqual(
+            started(Entry(entry('c', startedAtMs=-made.starts.offset / 10)), made.starts.offset), 0
+        )
+        self.assertIsNone(started(Entry(entry('c')), made.starts.offset))
 
     def test_a_server_that_moved_is_not_reached_where_it_was(self):
         made = node()
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -1,14 +1,20 @@
 """A wall clock that steps beneath the program and its libraries changes nothing that it does."""
 
 import logging
+import os
 import time
 import unittest
 from unittest import mock
 
+from lilacdyke.net.discovery import Entry
+from lilacdyke.net.handover import started_at
 from lilacdyke.net.logs import Sparse
 from lilacdyke.net.sockets import Reactor
+from lilacdyke.net.starts import StartTimes
+from lilacdyke.values import SECOND
 
 from .faulty import OnFaultyMachine
+from .helpers import entry, node
 
 HOUR = 3_600.0
 LIMIT = 0.4  # seconds that a client waits for its answer
@@ -78,5 +84,65 @@
             self.assertTrue(sparse.filter(record))
 
 
+class Lists(unittest.TestCase):
+    """Starts of servers that lists tell in Unix time, at a node whose wall clock was off as it started."""
+
+    NOW, UNIX_S = 500 * SECOND, 1_700_000_000
+
+    def start_of(self, ahead_s, age_s, last_word):
+        """By a wall clock so far ahead, the age in seconds that a start so long ago has."""
+        times = StartTimes(self.NOW - int((self.UNIX_S + ahead_s) * SECOND))
+        told = Entry(entry('c0', startedAtMs=(self.UNIX_S - age_s) * 1_000))
+        first = times.of(told, self.NOW, last_word)
+        self.assertEqual(times.of(told, self.NOW + SECOND, self.NOW), first)  # it is told again
+        return (self.NOW - first) / SECOND
+
+    def test_a_start_is_as_old_as_the_list_says_where_the_clock_is_right(self):
+        for age in (0.0, 3.0, 400.0):
+            self.assertAlmostEqual(self.start_of(0, age, None), age, delta=0.01)
+        self.assertAlmostEqual(self.start_of(0, 3.0, self.NOW - SECOND), 3.0, delta=0.01)
+
+    def test_news_of_a_start_is_not_taken_for_old_by_a_clock_that_is_ahead(self):
+        for ahead in (20, 3_600):
+            self.assertLessEqual(self.start_of(ahead, 0.5, self.NOW - SECOND), 6.0)
+
+    def test_a_start_in_the_future_is_now(self):
+        self.assertEqual(self.start_of(-3_600, 0.5, None), 0.0)
+
+
+class HandedOver(unittest.TestCase):
+    """What an elder tells in time keeps its age at an heir, whatever the wall clock did between their
+    starts."""
+
+    def test_servers_out_by_hand(self):
+        elder, heir = node(), node()
+        elder.reactor.advance(20)
+        heir.reactor.advance(20)
+        elder.router.suspend(elder.clock(), 'c0')
+        elder.reactor.advance(5)
+        heir.reactor.advance(5)
+        heir.starts.offset += int(HOUR * SECOND)  # it read a clock that was stepped since
+        heir.inherit(elder.legacy())
+        since, back = heir.router.hand['c0']
+        self.assertIsNone(back)
+        self.assertAlmostEqual(heir.clock() - since, 5 * SECOND, delta=10)
+
+    def test_the_process_that_started_last_is_asked_first(self):
+        self.assertGreater(started_at(str(os.getpid())), started_at('1'))
+        self.assertEqual((started_at('0'), started_at('x')), (-1, -1))
+
+
+class Told(unittest.TestCase):
+    def test_staff_are_told_of_a_step(self):
+        made = node()
+        made.reactor.advance(1.1)
+        with (
+            mock.patch.object(made.system, 'wall', lambda: made.elapsed() + made.wall_ahead - 20),
+            self.assertLogs('lilacdyke', 'WARNING') as caught,
+        ):
+            made.reactor.advance(1.1)
+        self.assertEqual((made.counts['clock_steps'], caught.records[0].fields['by_ms']), (1, -20_000))
+
+
 if __name__ == '__main__':
     unittest.main()
