The door answers before it takes a request; an attempt not begun ends as its server drains

(1) The door read a late request, then sent its refusal; where send(2) failed for want of memory the connection was closed with no answer, so the request was lost. It sends first, and lets in with its request whom it cannot answer now. (2) An attempt whose bytes the system did not take, as send failed for a second, left after its server had begun to drain, 525 to 600 ms after the node was told for a grace of 400. What has not begun to leave is cut as a list says so.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -14,7 +14,7 @@
 from .flow import PIECE, STALLED, Flow
 from .http import ANSWER, BadMessage, Reader, request
 from .local_errors import NO_DESCRIPTOR, connecting_errno, local_errno
-from .sockets import Outgoing, connect, no_delay, push, quiet
+from .sockets import Outgoing, connect, held_bytes, no_delay, push, quiet
 from .tables import Table
 
 KEPT = 0.6  # of the server's idle time, until an idle connection is closed
@@ -113,6 +113,7 @@
         self.number, self.idle_until, self.timed = None, None, 0  # timed: when its deadline is; 0: none
         self.settled = 0  # when it may carry the next hop
         self.used = False  # whether it has carried one
+        self.handed = 0  # bytes of the hop given to the transport before the system took any
         self.closed_for = None  # why this side closed it; None: it did not
         self.first_piece, self.last_piece = None, 0  # of a held answer of no told length: when they came
 
@@ -128,16 +129,22 @@
         source = exchange.message.source
         data = b''.join(request(exchange.message, max(1, exchange.until - self.pool.caches.clock())))
         if source:
-            self.left = False
+            self.left, self.handed = False, len(data)
             self.transport.write(data)
             self.flow = Flow(source, self.transport, exchange.message.length is None, source.moved)
             source.carried(self)
             return
         self.unsent = data[push(self.transport, data) :]
         self.left = not self.unsent
+        self.handed = len(data) if len(self.unsent) == len(data) else 0
         if self.unsent:
             self.transport.registerProducer(self, False)
 
+    @property
+    def begun(self):
+        """Whether any byte of the hop that it carries has left."""
+        return not self.handed or held_bytes(self.transport) < self.handed
+
     def body(self, data, whole):
         """More of a large request, and whether that was all. Its last byte has left once the system has
         all."""
@@ -586,6 +593,11 @@
         for pool in self.pools.values():
             if pool.server.state != 'ready':
                 pool.close_idle()
+        for link in self.table:
+            # Guards against a hop whose first byte this machine cannot send now, and would once the grace is
+            # over.
+            if link.pool.server.state != 'ready' and link.exchange and not link.begun:
+                link.exchange.cut('unsent')
 
     def send(self, server, message, until, wanted, repeat, leaves=bool):
         """Start a hop; its Exchange. wanted() tells whether it may still leave, leaves() is called as its
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -17,7 +17,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.internet.tcp import Client
 
-from .local_errors import GONE, NO_DESCRIPTOR, NO_MEMORY, name_of
+from .local_errors import GONE, MOVING, NO_DESCRIPTOR, NO_MEMORY, name_of
 from .transports import Connector, PatientEpoll, PatientReactor, Port
 
 LAST_RECEIVED = 52  # where tcp_info tells when bytes last came, in bytes
@@ -191,22 +191,40 @@
 
     def turn_away(self, came):
         """Answer, if a request lies there whole and nothing more: closing on anything unread, or on what is
-        still to come, would take the answer back. Whether it was turned away; else it is let in."""
+        still to come, would take the answer back. Whether it was turned away; else it is let in, also where
+        the answer cannot be sent now: closing would leave the request without one."""
         try:
             if not self.whole(came.recv(self.LOOK, socket.MSG_PEEK | socket.MSG_DONTWAIT)):
                 return False
+            if not self.sent(came, b''.join(self.answer())):
+                return False
         except BlockingIOError:
             return False  # nothing lies there yet
-        except OSError:
-            pass  # it went just now, as the next call finds
-        try:
+        except OSError as err:
+            if err.errno in MOVING:
+                return False  # this machine cannot look now
+        with suppress(OSError):
             came.recv(self.LOOK, socket.MSG_DONTWAIT)
-            came.send(b''.join(self.answer()), socket.MSG_DONTWAIT)
-        except OSError:
-            pass
         came.close()
         return True
 
+    def sent(self, came, answer):
+        """Send an answer: whether any of it left. The rest of one of which the system took only a part
+        follows at once, as long as it takes some. Raises OSError where the other side has gone."""
+        left = answer
+        for _ in range(len(answer)):
+            try:
+                left = left[came.send(left, socket.MSG_DONTWAIT) :]
+            except OSError as err:
+                if err.errno not in MOVING and err.errno != EAGAIN:
+                    raise
+                self.call_failed('send', err.errno)
+                if len(left) == len(answer):
+                    return False
+            if not left:
+                break
+        return True
+
 
 def tcp_info(handle):
     """A connection's state, and how long ago the system took the last bytes that came on it, as Linux tells
@@ -247,6 +265,11 @@
     return len(transport.dataBuffer) > transport.offset or bool(transport._tempDataBuffer)
 
 
+def held_bytes(transport):
+    """How many bytes the transport holds that the system has not taken."""
+    return len(transport.dataBuffer) - transport.offset + sum(map(len, transport._tempDataBuffer))
+
+
 def push(transport, data):
     """Send at once, past the transport's buffer, which must hold nothing; how many bytes the system took.
     What a connection has come to is left for the transport to find."""
