--- a/lilacdyke/lab/cli.py
+++ b/lilacdyke/lab/cli.py
@@ -384,6 +384,23 @@
     click.echo('written: %s' % out)
 
 
+@lab.command()
+@click.option(
+    '--every', type=click.IntRange(1), default=1, show_default=True, help='Only each such call of a kind.'
+)
+@click.option('--jobs', type=click.IntRange(0), default=0, help='Processes; by default one for each core.')
+def calls(every, jobs):
+    """A short scenario of a node with each of its calls failing in turn, and its wall clock stepped."""
+    from . import callsweep
+
+    begun = time.perf_counter()
+    count, found = callsweep.sweep(every, jobs)
+    click.echo('%d points, %d broken, %.0f s' % (count, len(found), time.perf_counter() - begun))
+    for point, broken in found[:40]:
+        click.echo('  %s: %s' % (point, broken[0]))
+    sys.exit(1 if found else 0)
+
+
 @lab.command()
 @click.option(
     '--every', type=click.IntRange(1), default=1, show_default=True, help='Only each such prefix of a write.'
--- a/lilacdyke/trial/cli.py
+++ b/lilacdyke/trial/cli.py
@@ -124,6 +124,42 @@
     sys.exit(1 if broken else 0)
 
 
+@trial.command()
+@click.option('--seeds', type=click.IntRange(1), default=1, show_default=True)
+@click.option('--first', type=int, default=1, show_default=True)
+@click.option('--seconds', type=click.FloatRange(5, 600), default=60.0, show_default=True)
+@click.option('--nodes', type=click.IntRange(2, 40), default=16, show_default=True)
+@click.option('--jobs', type=click.IntRange(1, 8), default=2, show_default=True, help='Runs at a time.')
+def soak(seeds, first, seconds, nodes, jobs):
+    """Dozens of real processes with random, overlapping faults, also of their machines; one run a seed."""
+    from . import soak as soaking
+
+    failed = 0
+    with ThreadPoolExecutor(jobs) as pool:
+        tasks = [pool.submit(soaking.one, seed, seconds, nodes) for seed in range(first, first + seeds)]
+        for task in as_completed(tasks):
+            found = task.result()
+            failed += bool(found.broken)
+            click.echo(
+                'seed %d: %s; %d processes, %d of %d served, %d changes kept, stood still for %.0f ms'
+                % (
+                    found.seed,
+                    'BROKEN' if found.broken else 'ok',
+                    found.processes,
+                    found.served,
+                    found.asked,
+                    found.kept,
+                    1e3 * found.still,
+                )
+            )
+            for rule, when, text in found.broken[:10]:
+                click.echo('  %s at %.3f s: %s' % (rule, when, text))
+            for fault in found.faults if found.broken else ():
+                click.echo('    ' + fault)
+    click.echo('%d runs, %d broken' % (seeds, failed))
+    sys.exit(1 if failed else 0)
+
+
 @trial.command()
 @click.argument('names', metavar='[MUTANT]...', nargs=-1)
 @click.option(
