--- /dev/null
+++ b/lilacdyke/lab/broken_nodes.py
@@ -0,0 +1,407 @@
+"""Deliberately broken nodes: each function is a small patch for the length of one run.
+
+put(owner, name, value) replaces an attribute until the run is over; chance() draws from the run's own source.
+Must never outlive a run.
+"""
+
+from .. import logic
+from ..logic import Router
+from ..net import caches, http
+from ..net.bodies import Download, Upload
+from ..net.caches import Caches, Link
+from ..net.client import ClientConnection
+from ..net.discovery import Discovery, started
+from ..net.node import Node
+from ..net.phases import Phases
+from ..net.starts import StartTimes
+from ..net.tables import Deadlines, Table
+from ..values import SECOND
+from .reactor import SimReactor
+
+
+def drain_ignored(put, chance):
+    usual = Router.list_entry
+    put(
+        Router,
+        'list_entry',
+        lambda self, now, server, state, *rest: usual(
+            self, now, server, 'ready' if state == 'draining' else state, *rest
+        ),
+    )
+
+
+def gone_ignored(put, chance):
+    usual = Router.list_entry
+    put(
+        Router,
+        'list_entry',
+        lambda self, now, server, state, *rest: usual(
+            self, now, server, 'ready' if state == 'gone' else state, *rest
+        ),
+    )
+
+
+def under(usual, whose, field, value):
+    """A method of the router, called with a field of something put otherwise for as long: whose(router, tx)
+    has it."""
+
+    def called(self, now, tx, *rest):
+        owner = whose(self, tx)
+        kept = getattr(owner, field)
+        setattr(owner, field, value)
+        try:
+            return usual(self, now, tx, *rest)
+        finally:
+            setattr(owner, field, kept)
+
+    return called
+
+
+def leavers_served(put, chance):
+    put(ClientConnection, 'left', lambda self: False)
+
+
+def window_ignored(put, chance):
+    put(Router, 'permitted', under(Router.permitted, lambda self, tx: tx.profile, 'window', 1 << 40))
+
+
+def group_ignored(put, chance):
+    put(Router, 'permitted', under(Router.permitted, lambda self, tx: tx.profile, 'group', 'all'))
+
+
+def lost_is_never_ran(put, chance):
+    put(logic, 'NEVER_RAN', logic.NEVER_RAN + ('lost', 'error'))
+
+
+def left_forgotten(put, chance):
+    usual = Link.connectionLost
+
+    def lost(self, reason=None):
+        self.left = False
+        usual(self, reason)
+
+    put(Link, 'connectionLost', lost)
+
+
+def answer_dropped(put, chance):
+    usual = ClientConnection.reply
+
+    def reply(self, pieces):
+        if chance() < 0.02:
+            self.active = None
+        else:
+            usual(self, pieces)
+
+    put(ClientConnection, 'reply', reply)
+
+
+def answer_doubled(put, chance):
+    usual = ClientConnection.reply
+    put(ClientConnection, 'reply', lambda self, pieces: usual(self, pieces * (1 + (chance() < 0.02))))
+
+
+def answers_mixed(put, chance):
+    usual, last = http.relayed, [None]
+
+    def relayed(message, lasting):
+        given, last[0] = last[0] if last[0] and chance() < 0.02 else message, message
+        return usual(given, lasting)
+
+    put(http, 'relayed', relayed)
+
+
+def answer_cut_short(put, chance):
+    usual = http.relayed
+
+    def relayed(message, lasting):
+        if chance() < 0.02:
+            message.body = message.body[:-1]
+        return usual(message, lasting)
+
+    put(http, 'relayed', relayed)
+
+
+def cold_flooded(put, chance):
+    put(Router, 'presence', lambda self, now, server: 1)
+
+
+def credit_endless(put, chance):
+    usual = Router.cold_room
+
+    def cold_room(self, now, server):
+        usual(self, now, server)
+        return True
+
+    put(Router, 'cold_room', cold_room)
+    put(Router, 'presence', lambda self, now, server: 1)
+
+
+def clock_mistaken(put, chance):
+    put(
+        StartTimes,
+        'of',
+        lambda self, entry, now, last_word: (
+            started(entry, self.offset - 3_600 * SECOND) if entry.started else None
+        ),
+    )
+
+
+def timers_on_wall_time(put, chance):
+    put(SimReactor, 'seconds', lambda self: self.monotonic() + self.ahead)
+
+
+def blames_servers(put, chance):
+    put(caches, 'local_errno', lambda failure: None)
+
+
+def hop_leaked(put, chance):
+    usual = Router.hop_ended
+
+    def hop_ended(self, now, hop, *rest):
+        usual(self, now, hop, *rest)
+        hop.server.out += chance() < 0.02
+
+    put(Router, 'hop_ended', hop_ended)
+
+
+def slot_leaked(put, chance):
+    usual = Table.remove
+    put(Table, 'remove', lambda self, number: usual(self, number) if chance() > 0.01 else None)
+
+
+def descriptor_leaked(put, chance):
+    usual = Link.close
+
+    def close(self, why):
+        if self.transport is not None and self.left and chance() < 0.5:
+            self.pool.forget(self)
+        else:
+            usual(self, why)
+
+    put(Link, 'close', close)
+
+
+def change_missed(put, chance):
+    usual = Discovery.told
+    put(
+        Discovery,
+        'told',
+        lambda self, lines: usual(self, lines if lines[1] or chance() < 0.5 else (lines[0], lines[1], [])),
+    )
+
+
+def versions_skipped(put, chance):
+    usual = Discovery.open
+
+    def open_(self):
+        if not self.watch and self.version is not None:
+            self.version += 2
+        usual(self)
+
+    put(Discovery, 'open', open_)
+
+
+def asks_when_told_to(put, chance):
+    put(Discovery, 'retry', lambda self, turn: None)
+
+
+def cut_at_the_limit(put, chance):
+    put(Download, 'due', Download.cut_off)
+
+
+def held_past_the_limit(put, chance):
+    put(Link, 'holds_part', property(lambda self: False))
+
+
+def held_without_limit(put, chance):
+    put(Upload, 'due', lambda self: None)
+
+
+def wakeup_lost(put, chance):
+    usual = Deadlines.at
+    put(
+        Deadlines,
+        'at',
+        lambda self, when, call, number: usual(self, when, call, number) if chance() > 0.05 else None,
+    )
+
+
+def limit_ignored(put, chance):
+    put(Node, 'limit_due', lambda self, number: None)
+
+
+def loser_kept(put, chance):
+    put(Node, 'do_cancel', lambda self, hop: None)
+
+
+def body_changed(put, chance):
+    usual = http.request
+
+    def request(message, wait):
+        if message.body and chance() < 0.1:
+            message.body = message.body[:-1] + b'!'
+        return usual(message, wait)
+
+    put(caches, 'request', request)
+
+
+def always_harmless(put, chance):
+    usual = Router.give_up
+
+    def give_up(self, now, tx, why=None):
+        return ('roll_back',) + (usual(self, now, tx, why)[1], self.hint)
+
+    put(Router, 'give_up', give_up)
+
+
+def hop_doubled(put, chance):
+    usual = Caches.send
+
+    def send(self, server, message, until, *rest):
+        if chance() < 0.05:
+            usual(self, server, message, until, *rest)
+        return usual(self, server, message, until, *rest)
+
+    put(Caches, 'send', send)
+
+
+def hops_unbounded(put, chance):
+    for name in ('permitted', 'step'):
+        put(Router, name, under(getattr(Router, name), lambda self, tx: self.terms, 'max_hops', 50))
+
+
+def leaves_at_once(put, chance):
+    put(Node, 'drain', lambda self, signum=15: self.reactor.stop())
+
+
+def counts_wrongly(put, chance):
+    usual = Node.count
+
+    def count(self, what):
+        usual(self, what)
+        if what == 'committed' and chance() < 0.02:
+            usual(self, what)
+
+    put(Node, 'count', count)
+
+
+def framings_chosen(put, chance):
+    usual = http.Reader.frame
+
+    def frame(self, message):
+        if message.field(b'content-length') is not None:
+            message.fields.pop(b'transfer-encoding', None)
+        usual(self, message)
+
+    put(http.Reader, 'frame', frame)
+
+
+def silent_kept(put, chance):
+    put(Phases, 'make_room', lambda self, places, need: None)
+
+
+def noise_raises(put, chance):
+    usual = http.read_head
+
+    def read_head(buffer, end, first):
+        try:
+            return usual(buffer, end, first)
+        except http.BadMessage as err:
+            raise KeyError('first line') from err
+
+    put(http, 'read_head', read_head)
+
+
+def missing_is_served(put, chance):
+    usual = caches.ending
+    put(
+        caches,
+        'ending',
+        lambda answer: 'committed' if answer.parts[1] == b'404' and chance() < 0.2 else usual(answer),
+    )
+
+
+def half_is_whole(put, chance):
+    usual = Link.connectionLost
+
+    def lost(self, reason=None):
+        message = self.reader.message
+        if self.exchange and message is not None and message.parts[1] == b'200':
+            message.body = bytes(self.reader.buffer)
+            self.finish('committed', message)
+        usual(self, reason)
+
+    put(Link, 'connectionLost', lost)
+
+
+def slots_reused(put, chance):
+    usual = Table.add
+
+    def add(self, what):
+        number = usual(self, what)
+        index = number & (1 << 20) - 1
+        self.ages[index] = 0
+        return index
+
+    put(Table, 'add', add)
+
+
+def ban_lost(put, chance):
+    usual = Router.list_entry
+
+    def list_entry(self, now, server, state, *rest):
+        if self.banned(server.name) and self.hand[server.name][0] < now:
+            self.hand.pop(server.name)
+        usual(self, now, server, state, *rest)
+
+    put(Router, 'list_entry', list_entry)
+
+
+def copy_to_suspended(put, chance):
+    usual = Router.pick
+
+    def pick(self, now, tx):
+        for server in self.known.values() if tx.hops else ():
+            if server.state == 'banned':
+                server.state = 'ready'
+                return server
+        return usual(self, now, tx)
+
+    put(Router, 'pick', pick)
+
+
+def back_as_warm(put, chance):
+    usual = Router.resume
+
+    def resume(self, now, name):
+        self.hand.pop(name, None)
+        server = self.known.get(name)
+        if server:
+            self.list_remembered(now, [(server, server.told, server.weight, None, server.zone, server.cell)])
+        return usual(self, now, name)
+
+    put(Router, 'resume', resume)
+    put(Router, 'presence', lambda self, now, server: 1)
+
+
+def idle_kept(put, chance):
+    put(Node, 'send_away', lambda self, since: None)
+    put(Phases, 'make_room', lambda self, places, need: None)  # else they go after 2.5 s of rest all the same
+
+
+def never_away(put, chance):
+    usual = Node.ready
+
+    def ready(self):
+        kept, self.gone_away = self.gone_away, False
+        told, self.gone_away = usual(self), kept
+        return told
+
+    put(Node, 'ready', ready)
+
+
+def never_back(put, chance):
+    put(Node, 'activate', lambda self: True)
+
+
+# --- limits of the whole fleet ----------------------------------------------------------------------------
