--- a/tests/lab/test_held.py
+++ b/tests/lab/test_held.py
@@ -8,7 +8,7 @@
 
 from lilacdyke.lab import draw, runs
 from lilacdyke.lab import scenario as scenarios
-from lilacdyke.lab.mutants import guarded
+from lilacdyke.lab.mutant_scenarios import guarded
 from lilacdyke.lab.scenario import Event
 
 
