--- a/review/kit.py
+++ b/review/kit.py
@@ -130,7 +130,7 @@
         self.changes, self.watches = [], {}
 
     def change(self, row):
-        """Change one server's entry; open watches are told at once."""
+        """Change one server's entry; open watches are told at once, later ones by their first line."""
         self.generation += 1
         self.rows[row['instanceId']] = row
         if row['lifecycle'] == 'DELETED':
@@ -143,12 +143,12 @@
         """Start anew with the present list and no changes before it."""
         self.first, self.changes = self.generation, []
 
-    def tell(self, writer):
-        """Send what a watch lacks."""
+    def tell(self, writer, first=False):
+        """Send what a watch lacks; its first line comes even if that is nothing."""
         since = self.watches[writer]
         whole = since is None or since < self.first or since > self.generation
         rows = list(self.rows.values()) if whole else [row for at, row in self.changes if at > since]
-        if rows or whole:
+        if rows or first:
             text = {'generation': self.generation, 'reset': whole, 'instances': rows}
             self.send(writer, json.dumps(text).encode() + b'\n')
             self.record.add(
@@ -176,7 +176,7 @@
         self.record.add('watch', index=given.get('index', '-'))
         writer.write(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
         self.watches[writer] = int(given['index']) if 'index' in given else None
-        self.tell(writer)
+        self.tell(writer, True)
         beat = asyncio.create_task(self.beat(writer))
         try:
             await reader.read()
