Review: case 1 draws where the long answer is reset; case 2 runs for longer

Cause: a reset at a drawn place is closer to what is met than one right behind the first bytes; a few servers' trickle is seen for longer. Change: both cases, and an end on SIGTERM.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -27,7 +27,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 KEYS, READS, WRITES, SECONDS = 200, 60, 8, 25
-LONG, FIRST_PIECE, LONG_SHARE = 200_000, 16_384, 0.125
+LONG, LONG_SHARE = 100_000, 0.125
 
 
 class Origin(CacheServer):
@@ -42,12 +42,12 @@
             text = await self.handle(job, method, path, body)
             if method == 'PUT' and self.random.random() < LONG_SHARE:
                 text = answer(200, b'w' * LONG)
-                writer.write(text[:FIRST_PIECE])
                 if trouble():
-                    self.record.add('reset', at=self.name, id=job)
+                    sent = self.random.randrange(200, LONG)
+                    writer.write(text[:sent])
+                    self.record.add('reset', at=self.name, id=job, after=sent)
                     reset(writer)
                     return
-                text = text[FIRST_PIECE:]
             writer.write(text)
             await writer.drain()
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -79,7 +79,7 @@
             record.say('the first process did not become ready')
             return CANNOT_RUN
         begun = record.now()
-        load = asyncio.create_task(front.load(RATE, keys, begun + 26))
+        load = asyncio.create_task(front.load(RATE, keys, begun + 38))
         await asyncio.sleep(4.0)
         await change_list(record, agent, leaving, coming)
         await asyncio.sleep(4.0)
--- a/review/kit.py
+++ b/review/kit.py
@@ -432,13 +432,14 @@
     record = Record(folder)
 
     async def bounded():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as temporary:
             async with asyncio.timeout(seconds):
                 return await case(record, temporary)
 
     try:
         code = asyncio.run(bounded())
-    except Exception as err:  # the case itself could not be carried out
+    except (Exception, asyncio.CancelledError) as err:  # the case itself could not be carried out
         record.say('cannot run: %r' % err)
         code = CANNOT_RUN
     record.say('exit %d' % code)
