Pass the first bytes of a long answer on before its server's end can be read

Reads lost their answer.

Cause: an attempt is committed with the first bytes of a long answer, but these waited in the client's transport for the reactor's next round, in which servers are read first. If the server's connection had ended by then, Download.abort reset the client's connection and discarded the buffer.

begin_download passes the head and the first piece to the system at once, and abort passes on what is buffered before the reset. So the client has bytes whichever event is read first.

--- a/lilacdyke/net/bodies.py
+++ b/lilacdyke/net/bodies.py
@@ -8,7 +8,7 @@
 from . import http
 from .flow import STALL_TIMEOUT, Flow
 from .phases import ASKED, LOOK, MAX_BODY_PAUSE, STREAMING
-from .sockets import nothing_unread, time_unread
+from .sockets import flush, nothing_unread, time_unread
 
 
 class Upload:
@@ -140,9 +140,14 @@
         self.client.finish_reply(self.flow.end())
 
     def abort(self):
-        """Abort the client's connection, so that the client sees that the answer is incomplete."""
+        """Abort the client's connection, so that the client sees that the answer is incomplete.
+
+        What the transport has buffered is sent first. Guards against a connection that ends with no byte of
+        the answer: it looks like one closed while idle, and the client would send its request once more.
+        """
         self.client.download = None
         self.flow.stop()
+        flush(self.client.transport)
         self.client.listener.node.count('broken_off')
         self.client.closed_for = 'streamed answer aborted'
         self.client.transport.abortConnection()
@@ -169,10 +174,15 @@
 
 
 def begin_download(client, answer, minor, until):
-    """Send the head of a large answer to a client of HTTP/1.minor; the body is forwarded as it arrives."""
+    """Send the head of a large answer to a client of HTTP/1.minor; the body is forwarded as it arrives.
+
+    The head and the first piece are passed to the system at once: the attempt counts as committed from here
+    on, so the client has to receive them whatever the server does next.
+    """
     in_chunks = minor == b'1'
     client.keep_alive = client.keep_alive and (in_chunks or answer.length is not None)
     client.listener.put(client, STREAMING)
     client.transport.write(http.relayed_head(answer, client.keep_alive, in_chunks))
     client.download = Download(client, answer, in_chunks and answer.length is None, until)
     client.download.begin()
+    flush(client.transport)
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -300,6 +300,15 @@
         return 0
 
 
+def flush(transport):
+    """Pass what the transport has buffered to the system, as far as the system accepts it now.
+
+    Errors are left for the transport to discover.
+    """
+    if waiting(transport):
+        transport.doWrite()
+
+
 def time_unread(transport):
     """Return how long the last bytes received on a connection have been unread, in ticks.
 
