Take a reset for a reset whichever call on the socket meets it first

Cause: at the limit the node looks for unread data with recv(MSG_PEEK). A reset that has just come makes this call raise ECONNRESET, which Linux reports once. The reactor's read then returned no data, an orderly end, which completes an answer that its connection's end delimits. On a pair of sockets: peek ECONNRESET, recv b''.

A call outside the transport that receives an error records it there, and a read without data is an orderly end only if none was recorded. This holds for every caller of nothing_unread and for send_now, which swallowed errors the same way. The lab's sockets report a reset's error once, too.

--- a/lilacdyke/lab/network.py
+++ b/lilacdyke/lab/network.py
@@ -63,6 +63,7 @@
         'listener',
         'syn_retries',
         'resetting',
+        'error_reported',
     )
 
     def __init__(self, net, process):
@@ -73,6 +74,7 @@
         self.eof = self.reset = self.fin_sent = self.linger = self.is_closed = self.defer = False
         self.error, self.outstanding, self.last_arrival, self.last_received, self.syn_retries = 0, 0, 0, 0, 0
         self.resetting = False  # an injected reset is under way: nothing more is sent, not even a FIN
+        self.error_reported = False  # whether a call has received the error of a reset
         self.backlog, self.queue, self.awaiting_accept = 0, None, 0
 
     # --- socket calls -----------------------------------------------------------------------------------
@@ -170,7 +172,9 @@
     def send(self, data, flags=0):
         """Send as much as fits into the window. Raise EAGAIN if it is full."""
         if self.reset or self.fin_sent:
-            raise OSError(EPIPE if self.fin_sent else ECONNRESET, 'connection is closed')
+            raise OSError(
+                EPIPE if self.fin_sent or not self.take_error() else ECONNRESET, 'connection is closed'
+            )
         if self.state != 'open':
             raise OSError(ENOTCONN, 'not connected')
         size = self.check_call('send')
@@ -182,11 +186,16 @@
         self.net.transmit(self, data)
         return len(data)
 
+    def take_error(self):
+        """Return whether the error of a reset is still to be reported; Linux reports it once."""
+        reported, self.error_reported = self.error_reported, True
+        return not reported
+
     def recv(self, count, flags=0):
         if not self.inbox:
-            if self.reset:
+            if self.reset and self.take_error():
                 raise ConnectionResetError(ECONNRESET, 'reset')
-            if self.eof:
+            if self.reset or self.eof:
                 return b''
             raise BlockingIOError(EAGAIN, 'no data')
         size = self.check_call('recv')
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -149,11 +149,21 @@
         transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return True
-    except OSError:
-        return False
+    except OSError as err:
+        record_error(transport, err)
     return False
 
 
+def record_error(transport, err):
+    """Record a connection's error for its transport, unless it is transient.
+
+    Linux reports an error such as ECONNRESET once: after a call that was not the transport's own, its next
+    read would return no data, as at an orderly end.
+    """
+    if err.errno not in RETRIED_IO_ERRNOS and not isinstance(err, BlockingIOError):
+        transport.connection_error = err.errno
+
+
 class AcceptFilter:
     """Listening socket that drops or refuses connections that are not worth serving.
 
@@ -292,11 +302,12 @@
 
 def send_now(transport, data):
     """Send immediately, bypassing the transport's buffer, which must be empty; return the number of
-    bytes sent. Errors are left for the transport to discover.
+    bytes sent. The transport learns of an error at its next read or write.
     """
     try:
         return transport.getHandle().send(data)
-    except OSError:
+    except OSError as err:
+        record_error(transport, err)
         return 0
 
 
--- a/lilacdyke/net/transports.py
+++ b/lilacdyke/net/transports.py
@@ -21,8 +21,13 @@
 class PatientTransport:
     """Transport that retries reads and writes that fail with a transient local errno."""
 
+    connection_error = None  # errno of the connection that another call than a read here has received
+
     def doRead(self):
-        """Read as Twisted does, but retry later on a transient local errno."""
+        """Read as Twisted does, but retry later on a transient local errno.
+
+        The end of the data is an orderly end only if no call has received an error of the connection.
+        """
         try:
             data = self.socket.recv(self.bufferSize)
         except OSError as err:
@@ -33,6 +38,8 @@
             self.reactor.call_failed('recv', err.errno)
             self.reactor.read_later(self)
             return None
+        if not data and self.connection_error is not None:
+            return CONNECTION_LOST
         return self._dataReceived(data)
 
     def writeSomeData(self, data):
