Answer a large request whose answer began before the request's last byte was sent

A server sends the first part of an answer of unknown length before it has the whole request, and then pauses. From the moment the request's last byte was sent the part counts as a partial answer, but the time of its first piece had not been recorded: at the limit Link.still_receiving raised TypeError, the deadline was logged as failed, and the client never got an answer.

The times are recorded for every part of an answer, whether or not its request was sent whole.

test_part_of_answer_before_end_of_request_is_answered_at_limit, without the change: no answer and the request still open 0.1 s after its limit, (None, 1) in place of (504, 0); with it, 504 at the limit.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -198,11 +198,11 @@
             self.answered(answer)
         elif self.reader.large:
             self.begin(self.reader.message)
-        elif self.has_partial_answer:
+        elif self.reader.message:
             self.last_piece = self.pool.caches.clock()
             if self.first_piece is None:
                 self.first_piece = self.last_piece
-            if self.exchange.on_partial:
+            if self.has_partial_answer and self.exchange.on_partial:
                 self.exchange.on_partial()
 
     @property
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -438,6 +438,18 @@
         refused(made)
         self.assertTrue(carried(made).value().endswith(b'abc'))
 
+    def test_part_of_answer_before_end_of_request_is_answered_at_limit(self):
+        """Guards against a request that is never answered, as the times of its answer's pieces were missing
+        at the limit."""
+        made = node()
+        wire = asked(made, PUT + 'abc')
+        origin = carried(made)
+        origin.protocol.dataReceived(CHUNKED + b'2\r\nab\r\n')
+        wire.protocol.dataReceived(b'z' * 99_997)
+        origin.flush()
+        made.reactor.pump([0.1] * 21)
+        self.assertEqual((status(wire), len(made.active_requests)), (504, 0))
+
     def test_client_disconnect_during_body_leaves_request_unrun(self):
         made = node()
         wire = asked(made, PUT + 'abc')
