Pass on a long answer that begins shortly before its request's limit

Cause: an answer of unknown length was passed on at the limit only if its pieces spanned a sixteenth of the request's time, 62 to 125 ms there. That rule belongs to the time in which a retry is possible. It also runs to the last piece and not to now, so pauses between pieces count against an answer.

At the limit, and where the module gives up, an answer is streamed if its first piece came 25 ms ago or more and one within 0.1 s. One that has just begun defers the limit once, by 25 ms at most, of the 50 ms of slack: a small one that breaks off does so within some ms and is still refused. An attempt's own limit leaves an arriving answer alone. An answer streamed at the end of a drain is reset before the exit.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -23,6 +23,7 @@
 # its remaining time and at most MAX_HOLD ticks, as all hops that wait reach the server at once.
 MIN_REDIAL_DELAY, MAX_REDIAL_DELAY, HOLD_DIVISOR, MAX_HOLD = 50, 500, 8, 2_500
 SHORT_IDLE_TIME = 3 * SETTLE_TIME  # ticks an idle connection is kept while the server has no free slots
+MAX_PIECE_GAP = 1_000  # ticks since its last piece for which an answer counts as arriving
 CACHE_STATUSES = {b'hit': 1, b'miss': 2, b'pending': 3}
 
 
@@ -227,6 +228,12 @@
             return False
         return now < self.last_piece + STALL_TIMEOUT or not nothing_unread(self.transport)
 
+    def is_arriving(self, now):
+        """Return whether a partial answer has a recent piece, or more of it unread."""
+        if not self.has_partial_answer:
+            return False
+        return now < self.last_piece + MAX_PIECE_GAP or not nothing_unread(self.transport)
+
     def stream_partial_answer(self):
         """Start streaming the partial answer as a large one."""
         self.begin(self.reader.message)
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -194,13 +194,14 @@
         if client and client.upload:
             client.upload.due()
 
-    def abort_streaming(self, _):
+    def abort_streaming(self, _=0):
         """Abort the answers being streamed, shortly before the process exits: an exit would look like
-        the orderly end of their bodies.
+        the orderly end of their bodies. Return whether there was one.
         """
-        for client in self.phases.listed(STREAMING):
-            if client.download:
-                client.download.abort_both()
+        streaming = [client for client in self.phases.listed(STREAMING) if client.download]
+        for client in streaming:
+            client.download.abort_both()
+        return bool(streaming)
 
     def close_idle(self, rested=0):
         """Close connections that have been without a request for this long, in ticks.
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -23,7 +23,8 @@
 from .listener import Listener
 from .local_errors import errno_name
 from .logs import LOG, log_event, log_warning
-from .sockets import Reactor, time_unread
+from .partial_answers import PartialAnswers
+from .sockets import Reactor
 from .start_times import StartTimes
 from .system import System
 from .tables import Deadlines, SlotTable
@@ -36,8 +37,6 @@
 FIRST_LIST_TIMEOUT = 10_000  # for discovery's first list, until which new clients wait to be accepted
 MAX_DRAIN = 30_000  # SIGKILL may follow SIGTERM a little later than this
 SETTLED_IDLE = 2_500  # a client idle for this long is unlikely to send a request while its connection closes
-RELAY_FRACTION = 4  # the last quarter of a request's time is kept for relaying a partial answer
-PROGRESS_FRACTION = 16  # an answer still arrives if it made progress over 1/16 of its request's time
 FIGURES_INTERVAL = 10 * SECOND
 STEP_SECONDS = 0.1  # smallest step of the wall clock that is reported
 MILLISECOND = SECOND // 1_000
@@ -46,7 +45,10 @@
 class ActiveRequest:
     """A request that the node has taken, its transaction, and the client that is owed the answer."""
 
-    __slots__ = ('number', 'name', 'client', 'message', 'tx', 'attempts', 'wait', 'shared', 'sent_hops')
+    __slots__ = (
+        *('number', 'name', 'client', 'message', 'tx', 'attempts', 'wait', 'shared', 'sent_hops'),
+        'limit_deferred',
+    )
 
     def __init__(self, client, message, wait):
         self.client, self.message, self.wait = client, message, wait
@@ -55,6 +57,7 @@
         self.attempts = []  # in flight
         self.sent_hops = []  # (time, hop) of each attempt sent, for the guard
         self.shared = False  # whether it counts against the fleet's limits
+        self.limit_deferred = False  # whether its limit was deferred for an answer that had just begun
 
 
 class Attempt:
@@ -103,6 +106,7 @@
             self.call_failed,
         )
         self.discovery = Discovery(reactor, self.deadlines, self.clock, config, self.uniform, self)
+        self.partial_answers = PartialAnswers(self)
         self.operator_server = None
         self.out_of_rotation, self.away_since = False, 0  # by operators; since when
         self.handover, self.exit_code = None, 0  # links to the node's other processes, if it can hand over
@@ -305,13 +309,20 @@
             and (self.listener.shut or not self.keeps_listening and held)
             or now >= self.last + ARRIVAL_GRACE // 5
         ):
-            self.phase = STOPPED
-            self.discovery.close()
-            log_event('stopped', open=len(self.active_requests), **self.counts)
-            self.reactor.stop()
+            self.stop()
         else:
             self.deadlines.at(now + ARRIVAL_GRACE // 20, self.drain_step, since)
 
+    def stop(self, _=0):
+        """Stop the process, one turn after the answers that are still being streamed were aborted."""
+        if self.listener.abort_streaming():
+            self.deadlines.at(self.clock(), self.stop, 0)
+            return
+        self.phase = STOPPED
+        self.discovery.close()
+        log_event('stopped', open=len(self.active_requests), **self.counts)
+        self.reactor.stop()
+
     # --- operator commands ------------------------------------------------------------------------------
 
     def empty(self):
@@ -556,7 +567,7 @@
         active = self.active_requests.get(number)
         if active is None or self.defer_for_unread(active.attempts, self.limit_due, number):
             return
-        if self.stream_partial_answer(active):
+        if self.partial_answers.answer_at_limit(active) or self.partial_answers.defer_limit(active):
             return
         for attempt in active.attempts[:]:
             attempt.exchange.cut('expired')
@@ -589,7 +600,7 @@
     # --- attempts ---------------------------------------------------------------------------------------
 
     def attempt_limit_due(self, number):
-        """End an attempt at its own limit, unless its answer makes progress and the request has time left.
+        """End an attempt at its own limit, unless its answer is arriving and the request has time left.
 
         Where attempts may not be cancelled, this also ends those of finished requests at silent servers.
         """
@@ -597,13 +608,13 @@
         if attempt is None or self.defer_for_unread([attempt], self.attempt_limit_due, number):
             return
         limit = attempt.active.tx.limit
-        if (
-            limit is not None
-            and self.clock() < limit
-            and attempt.exchange.link in self.progressing_links(attempt.active)
-        ):
-            self.deadlines.at(limit, self.attempt_limit_due, number)
-            return
+        if limit is not None and self.is_open(attempt.active):
+            if self.clock() >= limit:
+                return  # limit_due decides
+            extended = self.partial_answers.extended_limit(attempt, limit)
+            if extended is not None:
+                self.deadlines.at(extended, self.attempt_limit_due, number)
+                return
         attempt.exchange.cut('expired')
         self.settle()
 
@@ -665,48 +676,6 @@
         """Log an exception in the node itself."""
         LOG.error('fault', exc_info=(failure.type, failure.value, failure.getTracebackObject()))
 
-    def partial_answer(self, attempt):
-        """Handle a piece of an answer of unknown length.
-
-        While it is buffered, the request can still be retried or hedged. But a large answer that is buffered
-        until the limit would be lost, so relaying starts after three quarters of the request's time, less the
-        time that the data lay unread in this node.
-        """
-        now = self.clock()
-        if attempt.relay_at is None:
-            limit = attempt.active.tx.limit or attempt.exchange.until
-            late = time_unread(attempt.exchange.link.transport)
-            attempt.relay_at = limit - attempt.active.wait // RELAY_FRACTION - late
-            self.deadlines.at(max(now, attempt.relay_at), self.relay_due, attempt.number)
-        elif now >= attempt.relay_at:
-            self.relay_due(attempt.number)
-
-    def relay_due(self, number):
-        """Relay a partial answer that has been buffered for long enough."""
-        attempt = self.attempts.get(number)
-        if attempt is not None and self.active_requests.get(attempt.active.number) is attempt.active:
-            self.stream_partial_answer(attempt.active)
-
-    def progressing_links(self, active):
-        """Return the connections on which an answer to this request is making progress.
-
-        An answer that stalled after its first piece is more likely to fail than to be large, so it stays
-        buffered for a retry or a refusal.
-        """
-        now, spread = self.clock(), active.wait // PROGRESS_FRACTION
-        links = [attempt.exchange.link for attempt in active.attempts if attempt.exchange.link]
-        return [link for link in links if link.still_receiving(now, spread)]
-
-    def stream_partial_answer(self, active):
-        """Start to relay a partial answer that is making progress, the longest if there are several.
-
-        Return whether there was one; a request with such an answer is not refused.
-        """
-        links = self.progressing_links(active)
-        if links:
-            max(links, key=lambda link: len(link.reader.message.body)).stream_partial_answer()
-        return bool(links)
-
     # --- the server list --------------------------------------------------------------------------------
 
     def listed(self, whole, entries):
@@ -802,7 +771,7 @@
             hop.index > 0,
             lambda: self.guard.check_send(active, hop),
         )
-        attempt.exchange.on_partial = lambda: self.partial_answer(attempt)
+        attempt.exchange.on_partial = lambda: self.partial_answers.piece_received(attempt)
         attempt.exchange.done.addCallback(self.attempt_ended, attempt.number).addErrback(self.fault)
         # In all other cases the attempt ends with its request.
         if hop.tx.limit is not None and (until < limit or not self.config.terms.may_cancel):
@@ -824,7 +793,7 @@
 
     def do_roll_back(self, tx, after):
         """Refuse a request that had no effect, so that its client can safely retry it."""
-        if self.stream_partial_answer(tx.ref):
+        if self.partial_answers.answer_at_limit(tx.ref):
             return
         self.count('rolled_back')
         self.events.say('request refused', tx.ref.name, why=tx.why, attempts=len(tx.hops))
@@ -839,7 +808,7 @@
 
     def do_abandon(self, tx):
         """Answer a request that may have taken effect or not."""
-        if self.stream_partial_answer(tx.ref):
+        if self.partial_answers.answer_at_limit(tx.ref):
             return
         self.count('abandoned')
         self.events.say('request abandoned', tx.ref.name, why=tx.why, attempts=len(tx.hops))
--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -104,7 +104,7 @@
         link = attempt.exchange.link
         link.first_piece, link.last_piece = link.first_piece - 2 * STALLED, link.last_piece - STALLED
         self.reset(hop, link)
-        self.node.relay_due(attempt.number)
+        self.node.partial_answers.relay_due(attempt.number)
         self.check_not_whole(wire, link)
 
     def test_reset_found_while_streaming_is_no_end_of_answer(self):
