Test of the run command: read the Unix sockets of its process, not of the machine

test_run_command_ignores_stray_fleet_settings failed now and then while other tests ran fleets of the installation 'here': it looked for their abstract sockets in the machine's whole list. It now matches that list with the descriptors of the process under test, and allows it no Unix socket of any name, which is stricter for the process that it judges.

--- a/tests/trial/test_off.py
+++ b/tests/trial/test_off.py
@@ -50,6 +50,15 @@
 MEMORY_KB = 40_000  # peak after the start
 
 
+def unix_sockets(pid):
+    """Return the names of this process's Unix sockets, and nothing of other processes on the machine."""
+    folder = '/proc/%d/fd' % pid
+    held = {os.readlink(os.path.join(folder, fd)) for fd in os.listdir(folder)}
+    with open('/proc/%d/net/unix' % pid, encoding='ascii') as file:
+        rows = [row.split() for row in file]
+    return [row[7] for row in rows[1:] if len(row) > 7 and 'socket:[%s]' % row[6] in held]
+
+
 class FleetDisabled(unittest.TestCase):
     def start(self, folder, stray):
         """Start the `run` command until it serves; return (imported modules, open descriptors, peak memory
@@ -116,8 +125,7 @@
             ]
             with open('/proc/%d/status' % process.pid, encoding='ascii') as file:
                 memory = next(int(row.split()[1]) for row in file if row.startswith('VmHWM'))
-            with open('/proc/net/unix', encoding='ascii') as file:
-                self.assertFalse([row for row in file if '@lilacdyke/here' in row])
+            self.assertEqual(unix_sockets(process.pid), [])
         finally:
             process.send_signal(signal.SIGTERM)
             process.wait(8)
