--- a/lilacdyke/lab/broken_nodes.py
+++ b/lilacdyke/lab/broken_nodes.py
@@ -6,11 +6,12 @@
 
 from .. import logic
 from ..logic import Router
-from ..net import caches, http
+from ..net import caches, http, links
 from ..net.bodies import Download, Upload
-from ..net.caches import Caches, Link
+from ..net.caches import Caches
 from ..net.client import ClientConnection
 from ..net.discovery import Discovery, started
+from ..net.links import Link
 from ..net.node import Node
 from ..net.phases import Phases
 from ..net.start_times import StartTimes
@@ -242,7 +243,7 @@
             message.body = message.body[:-1] + b'!'
         return usual(message, wait)
 
-    put(caches, 'request', request)
+    put(links, 'request', request)
 
 
 def always_harmless(put, uniform):
@@ -313,9 +314,9 @@
 
 
 def missing_is_served(put, uniform):
-    usual = caches.ending
+    usual = links.ending
     put(
-        caches,
+        links,
         'ending',
         lambda answer: 'committed' if answer.parts[1] == b'404' and uniform() < 0.2 else usual(answer),
     )
--- a/lilacdyke/net/partial_answers.py
+++ b/lilacdyke/net/partial_answers.py
@@ -5,7 +5,7 @@
 the alternative: to go on waiting, or to answer without it.
 """
 
-from .caches import MAX_PIECE_GAP
+from .links import MAX_PIECE_GAP
 from .sockets import time_unread
 
 RELAY_FRACTION = 4  # the last quarter of a request's time is kept for relaying a partial answer
--- a/tests/lab/test_network.py
+++ b/tests/lab/test_network.py
@@ -130,6 +130,20 @@
         self.advance(DELAY)
         self.assertEqual(self.recv_errno(near), ECONNRESET)
 
+    def test_error_of_a_reset_is_reported_once(self):
+        """As on Linux: after any call that received it, a read returns no data."""
+        for call in (lambda sock: sock.recv(1, socket.MSG_PEEK), lambda sock: sock.send(b'x')):
+            near, far = self.connected_pair()
+            near.send(b'ab')
+            self.advance(DELAY)
+            far.close()
+            self.advance(DELAY)
+            with self.assertRaises(ConnectionResetError):
+                call(near)
+            self.assertEqual(near.recv(10), b'')
+            with self.assertRaises(BrokenPipeError):
+                near.send(b'x')
+
     def test_data_to_a_closed_socket_resets_the_connection(self):
         near, far = self.connected_pair()
         far.close()
