--- a/lilacdyke/gate.py
+++ b/lilacdyke/gate.py
@@ -113,7 +113,8 @@
         return True
 
     def late(self, waited):
-        """Return whether the node lags so far behind that a request that waited so long is rejected."""
+        """Return whether the node lags so far behind that a request that waited so long is rejected: all
+        its answers would be late."""
         return 2 * waited > self.goal
 
     def hold_until(self, tx):
@@ -129,7 +130,8 @@
         """Return whether a server may get one more hop despite being cold.
 
         The rate of a cold cache is the peak rate of warm caches, scaled by weight and age, times half of the
-        multiple that the whole fleet must stay under. It may be far below one hop per window, so credit
+        multiple that the whole fleet must stay under. What caches answer counts, not what they are sent,
+        which in an overload is mostly retries. The rate may be far below one hop per window, so credit
         accumulates from a random start."""
         warmth = self.capacity_factor(now, server)
         if self.fleet_limits and not self.fleet_limits.allows(now, server, warmth < 1):
--- a/lilacdyke/known.py
+++ b/lilacdyke/known.py
@@ -12,7 +12,8 @@
 NEUTRAL_ENDINGS = ('unsent', 'cancelled', 'spoilt', 'rejected', 'lost')
 MIN_SHARE = 1 / 32  # traffic kept at a server that is set aside, as a share of its normal traffic
 SET_ASIDE_AFTER = 4  # consecutive unanswered hops
-RACE_WINDOW, LOOKUP_WINDOW = 16, 32  # hedged lookups and lookups that the hedging policy looks back on
+# Hedged lookups and lookups that the hedging policy looks back on, as in the CoDNS paper.
+RACE_WINDOW, LOOKUP_WINDOW = 16, 32
 MIN_IN_FLIGHT = 2  # lower bound of a new server's in-flight limit, and slack above the mean load
 INITIAL_IN_FLIGHT = 32.0  # in-flight limit of a server without any history
 MAX_SUSPENDED = 1_024  # remembered suspensions, ended ones included
@@ -64,7 +65,8 @@
 
 
 class HedgeTimer:
-    """Delay before a lookup whose first hop goes to this cache is hedged with a copy."""
+    """Delay before a lookup whose first hop goes to this cache is hedged with a copy: the three rules of the
+    CoDNS paper."""
 
     __slots__ = ('latencies', 'hedge_latencies', 'hedge_wins', 'since_hedge', 'fast_stage')
 
@@ -309,7 +311,8 @@
 
         The limit grows by one per round trip of quick answers. It shrinks by a quarter, at most once per
         round trip, after a refusal, an error, or an answer slower than a third of the goal (the whole goal
-        at the origin); where answers are frequent, their moving average must be that slow as well."""
+        at the origin); where answers are frequent, their moving average must be that slow as well. Guards
+        against a server that is given more than it can do: a crowded cache stays crowded."""
         server = hop.server
         threshold = hop.tx.profile.goal if server.origin else hop.tx.profile.goal // 3
         answered = ending in ('committed', 'missing')
@@ -390,7 +393,8 @@
         return self.bad_hops / (self.good_hops + self.bad_hops)
 
     def record_silence(self, now, server):
-        """Count an unanswered hop and set the server aside after SET_ASIDE_AFTER in a row."""
+        """Count an unanswered hop and set the server aside after SET_ASIDE_AFTER in a row. Guards against
+        servers that are dead, cut off, or accept requests and answer none."""
         server.unanswered_hops += 1
         share = self.current_share(now, server)
         if share < 1 or server.unanswered_hops >= SET_ASIDE_AFTER:
--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -27,7 +27,7 @@
 BUSY_FACTOR = 2  # a cache above this multiple of the mean in-flight hops, plus MIN_IN_FLIGHT, is skipped
 BUDGET_RATIO = 0.25  # retries and hedges, as a share of the reads taken
 ZONE_FACTOR = 1 << 30  # weight of caches in the node's own zone, for keys that stay in it
-HISTORY_READS = 256
+HISTORY_READS = 256  # reads within which a key counts as seen
 MASK_64 = (1 << 64) - 1
 
 
@@ -352,7 +352,9 @@
         return self.admitted_share(now, server) < 1, (server.out + 1) / size
 
     def ranked(self, now, tx):
-        """Return the caches in weighted rendezvous order, weighted by size, age and zone, for this key."""
+        """Return the caches in weighted rendezvous order, weighted by size, age and zone, for this key.
+
+        A cache that joins, leaves or changes weight moves its own keys only."""
         if tx.rank is None:
             scored, local = [], self.prefers_local(now, tx)
             for s in self.caches:
@@ -373,7 +375,8 @@
         """Return whether a key's home is in the node's own zone, if crossing zones costs more than a miss.
 
         As waits at the caches or the origin grow, more keys share one home across zones, keys that were not
-        read lately first. This depends on the key alone: one with two homes would miss in both."""
+        read lately first. Guards against misses that the origin cannot take, and against a zone whose caches
+        bear less. This depends on the key alone: one with two homes would miss in both."""
         if self.terms.cross_zone_fee <= self.terms.waste_fee:
             return False
         bound = 2 - 6 * self.common_wait(now) / self.goal
@@ -385,7 +388,7 @@
 
     def spread_hot_key(self, tx, local):
         """Spread a hot key over as many of its first caches as its share of the reads needs, so that it does
-        not overload its home."""
+        not overload its home. A key is hot with over half of a cache's fair share of the latest reads."""
         share = max(2 * self.recent_keys.share(tx.key_hash), self.key_history.share(tx.key_hash))
         if not share:
             return
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -96,7 +96,8 @@
         self.caches.dialling.remove(number)
         self.connect_recovered()
         if self.refused:
-            # A restarted server is cold, and its list entry follows only seconds later.
+            # A restarted server is cold, and its list entry follows only seconds later: until then it would
+            # get more than it can do.
             self.refused = False
             self.caches.returned(self.server)
         if link.address != self.address:
@@ -384,7 +385,10 @@
         pool.redial()
 
     def dial_due(self, number):
-        """Cancel a connection attempt that has timed out."""
+        """Cancel a connection attempt that has timed out.
+
+        Guards against a server that has vanished: connections to it are never established.
+        """
         opening = self.dialling.get(number)
         if opening is not None:
             opening.cancel()
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -195,7 +195,8 @@
         self.deadlines.at(self.clock() + SECOND, self.check_wall_clock, 0)
 
     def first_list_timed_out(self, _):
-        """Accept clients even though discovery has sent no list: it may take longer than they wait."""
+        """Accept clients even though discovery has sent no list: a call to it may be queued for longer than
+        they wait."""
         self.serve()
 
     def serve(self):
@@ -519,7 +520,8 @@
     def wanted(self, active):
         """Return whether its attempts may still be sent.
 
-        They may not once the client is gone, even if that has not been read from its socket yet.
+        They may not once the client is gone, even if that has not been read from its socket yet. Where
+        attempts may not be cancelled, one that waits for a connection would still be sent, for nobody.
         """
         return self.active_requests.get(active.number) is active and not active.client.peer_gone()
 
@@ -602,7 +604,8 @@
     def attempt_limit_due(self, number):
         """End an attempt at its own limit, unless its answer is arriving and the request has time left.
 
-        Where attempts may not be cancelled, this also ends those of finished requests at silent servers.
+        A large answer that is cut here would be lost long before its request's limit. Where attempts may
+        not be cancelled, this also ends those of finished requests: at a silent server they would never end.
         """
         attempt = self.attempts.get(number)
         if attempt is None or self.defer_for_unread([attempt], self.attempt_limit_due, number):
--- a/lilacdyke/net/operator.py
+++ b/lilacdyke/net/operator.py
@@ -105,7 +105,10 @@
         return OperatorConnection(self)
 
     def opened(self, caller):
-        """Register a connection; if there are too many, the oldest has to make way."""
+        """Register a connection; if there are too many, the oldest has to make way.
+
+        Guards against callers that connect and say nothing.
+        """
         if len(self.waiting) >= MAX_CALLERS:
             next(iter(self.waiting.values())).overdue()
         caller.number = self.table.add(caller)
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -27,7 +27,8 @@
 
 class PrioritizedEvents:
     """Reactor mixin that sets the order of events in one iteration: operator connections, then servers,
-    then clients. Finishing requests in progress takes precedence over accepting new ones.
+    then clients. Operators wait for a second at most. Finishing requests in progress takes precedence over
+    accepting new ones.
     """
 
     def doPoll(self, timeout):
@@ -76,7 +77,8 @@
         )
 
     def listenTCP(self, port, factory, backlog=50, interface=''):
-        """Listen, retrying while the machine is out of memory or descriptors.
+        """Listen, retrying while the machine is out of memory or descriptors, so that a start does not fail
+        because of a moment's shortage.
 
         Sockets are not shut down on close, as another process may share them.
         """
@@ -204,8 +206,8 @@
     def failed(self, number):
         """Handle a failed accept.
 
-        Twisted would close all waiting connections when out of descriptors; instead the caller pauses
-        accepting.
+        Twisted would accept and close all waiting connections when out of descriptors; instead the caller
+        pauses accepting, as the call would fail again at once for as long as that lasts.
         """
         self.call_failed('accept', number)
         if number not in ACCEPT_GONE:
