--- a/lilacdyke/values.py
+++ b/lilacdyke/values.py
@@ -4,6 +4,7 @@
 """
 
 import re
+from math import isfinite
 
 STATES = {'SERVING': 'ready', 'DRAINING': 'draining', 'DELETED': 'gone'}  # server states in lists
 SECOND = 10_000  # in units of 0.1 ms, the unit of time in the package
@@ -23,11 +24,11 @@
 
 
 def number(text):
-    """Parse a finite number."""
+    """Parse a number that is finite, also when converted to the unit of time."""
     if not NUMBER.match(text):
         raise InvalidValueError('not a number: %r' % text)
     value = float(text)
-    if value - value != 0:
+    if not isfinite(value * SECOND):
         raise InvalidValueError('out of range: %r' % text)
     return value
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -168,6 +168,7 @@
             start + 'Req-Id: 1\r\n\r\n': (400, True),
             start + 'Host: x\r\nReq-Id: 1\r\nReq-Deadline: soon\r\n\r\n': (400, True),
             start + 'Host: x\r\nReq-Id: 1\r\nReq-Deadline: -1\r\n\r\n': (400, True),
+            start + 'Host: x\r\nReq-Id: 1\r\nReq-Deadline: 1e308\r\n\r\n': (400, True),
             start + 'Host: x\r\nReq-Id: 1\r\nReq-Owner: nobody\r\n\r\n': (400, True),
             start + 'Content-Length: 70000000\r\n\r\n': (413, True),
             start + 'a' * 20_000: (431, True),
