End the other attempts at a limit that an arriving answer has deferred

Where attempts may not be cancelled, each ends at its request's limit by a deadline of its own. If the limit was deferred by 25 ms for an answer that had just begun, that deadline found the request open and was not set again: an attempt at a silent server stayed in flight for ever.

It is set again until the request's own deadline has decided. The new test fails without this ((200, False, 1) in place of (200, True, 0)) and passes with it; so do the other 151 tests of its module and of the node's.

--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -612,8 +612,6 @@
             return
         limit = attempt.active.tx.limit
         if limit is not None and self.is_open(attempt.active):
-            if self.clock() >= limit:
-                return  # limit_due decides
             extended = self.partial_answers.extended_limit(attempt, limit)
             if extended is not None:
                 self.deadlines.at(extended, self.attempt_limit_due, number)
--- a/lilacdyke/net/partial_answers.py
+++ b/lilacdyke/net/partial_answers.py
@@ -67,13 +67,16 @@
     def extended_limit(self, attempt, limit):
         """Return until when an attempt may exceed its own limit because its answer is arriving, or None.
 
-        limit: of its request.
+        limit: of its request, which is still open. Once that has passed, the request's own deadline decides
+        first.
         """
-        link, active = attempt.exchange.link, attempt.active
+        now, link, active = self.node.clock(), attempt.exchange.link, attempt.active
+        if now >= limit:
+            return now + MIN_ANSWER_AGE
         if link in self.progressing(active):
             return limit
         if link in self.arriving(active):
-            return min(limit, self.node.clock() + MAX_PIECE_GAP)
+            return min(limit, now + MAX_PIECE_GAP)
         return None
 
     def progressing(self, active):
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -139,6 +139,19 @@
         self.end(server, CHUNKED)
         self.assertEqual((status(wire), wire.value().count(b'x')), (200, 11 * 8_192))
 
+    def test_without_cancellation_the_other_attempt_ends_as_well(self):
+        """Guards against an attempt that stays in flight for ever at a silent server."""
+        made = node(known=TWO_CACHES)
+        made.config.terms.may_cancel = False
+        wire, first = sent(made)
+        made.reactor.advance(0.6)  # its copy is due
+        copy = connection_up(made)
+        made.reactor.advance(LIMIT - 0.6 - 0.01)
+        copy.protocol.dataReceived(CHUNKED + framed(CHUNKED, PIECE))
+        self.give(made, copy, CHUNKED, 10)
+        self.end(copy, CHUNKED)
+        self.assertEqual((status(wire), first.ended, len(made.attempts)), (200, True, 0))
+
     def test_of_two_attempts_the_one_that_arrives_is_passed_on(self):
         made = node(known=TWO_CACHES)
         wire, first = sent(made)
