Read requests before discovery's first list, and hold them in place of their connections

Cause: the wait for the first list, which is there because servers of the remembered list may have begun to drain, held back the accepting of connections. The system accepts them from listen() on, so their requests were taken and lay unread, where none of the node's time limits reaches them.

Evidence: with a silent agent all answers come in the same millisecond, 1.00 s after listen(), as `serving` is logged; with a list after 0.4 s at 0.41 s; with one at once after 0.045 s. Servers answer in 31 ms.

Change: requests are read from the start on. The gate lets nothing be sent before the first list or the end of the wait for it; the router holds each transaction while it is not late and half of its time is left, and refuses it then. SIGTERM in the wait begins the drain at once: with limits of 0.25 s SIGKILL may come before the wait is over. New log line `listening`.

Two tests of test_net.Phases asked that no connection be accepted before the list; they ask now that nothing be sent, with requests that are there, before and after a list in which the servers drain, which is what that was for. The order of two log lines in test_crossings.Starting is free, both are still awaited.

--- a/lilacdyke/gate.py
+++ b/lilacdyke/gate.py
@@ -79,6 +79,7 @@
         super().__init__(terms, seed)
         self.fleet_limits = None  # this node's leases from the fleet (plan/shares.py); None: no limit
         self.handed = False  # whether the node's next process has taken over the cold budgets
+        self.awaiting_first_list = False  # until discovery has sent a list, or is not waited for any longer
         self.retry_budget = 1.0
 
     def accepts_read(self, now, tx, server, drawn):
@@ -117,6 +118,13 @@
         its answers would be late."""
         return 2 * waited > self.goal
 
+    def first_list_due(self, tx):
+        """Return the time until which a transaction may wait for discovery's first list.
+
+        It is not late then, and half of its time is left for a retry elsewhere."""
+        wait = self.goal if tx.limit is None else min(self.goal, tx.limit - tx.taken)
+        return tx.taken + wait // 2
+
     def hold_until(self, tx):
         """Return the time until which a transaction may be held without a hop."""
         return min(tx.limit, tx.taken + tx.profile.goal)
@@ -147,6 +155,8 @@
 
     def permitted(self, now, tx, server):
         """Return whether the rules allow one more hop of this transaction to this server."""
+        if self.awaiting_first_list:
+            return False  # servers of the remembered list may have begun to drain
         if tx.done or self.over(now, tx) or len(tx.hops) >= self.terms.max_hops or server.state != 'ready':
             return False
         if tx.spent or not self.cold_budget_allows(now, server) or tx.out and not tx.hedgeable:
--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -1,8 +1,9 @@
 """Routing decisions of a node: which cache a transaction goes to, when to hedge or retry, when to give up.
 
 Each instance has one Router, built from the site's terms, a seed and the node's rank. Inputs (list_changed,
-list_failed, list_replaced, list_remembered, take, hop_ended, client_gone) take the current time and only
-update state; the host then calls `decide(now)` until it returns None. A decision is a tuple led by a verb:
+list_failed, list_replaced, list_remembered, take, hop_ended, client_gone) take the current time and, like
+await_first_list and end_first_list_wait, only update state; the host then calls `decide(now)` until it
+returns None. A decision is a tuple led by a verb:
     ('send', hop, timeout)    start this hop to hop.server; timeout None: it may last until the limit
     ('cancel', hop)           stop waiting for this hop
     ('roll_back', tx, after)  final answer: the client may safely retry, after this delay (0: no hint)
@@ -74,9 +75,31 @@
         self.arrived, self.interval = 0, 0  # time of the latest transaction, mean time between two
         self.fetching, self.followers = {}, {}  # by key: the transaction that fetches, those that wait for it
         self.queue = deque()  # transactions that wait for capacity at the origin
+        self.awaiting = []  # transactions that wait for discovery's first list
         self.fetch_times = Histogram(self.unit)
         self.key_history, self.recent_keys = KeyFrequency(HISTORY_READS), KeyFrequency(LOOKUP_WINDOW)
 
+    # --- the first list -------------------------------------------------------------------------------
+
+    def await_first_list(self):
+        """Send nothing until end_first_list_wait(): the remembered list may be out of date."""
+        self.awaiting_first_list = True
+
+    def end_first_list_wait(self):
+        """Decide on transactions from now on, those that have waited first."""
+        self.awaiting_first_list = False
+        self.ready.extend(self.awaiting)
+        self.awaiting.clear()
+
+    def step_first_list(self, now, tx):
+        """Hold a transaction until discovery's first list, or refuse it while its client can still retry."""
+        due = self.first_list_due(tx)
+        if now >= due:
+            return self.give_up(now, tx, 'no list yet')
+        self.awaiting.append(tx)
+        self.set_timer(due, tx)
+        return None
+
     # --- transactions ---------------------------------------------------------------------------------
 
     def take(self, now, row, key, limit, write, since):
@@ -224,6 +247,8 @@
         self.update_warm_rate(now)
         if not tx.hops and (tx.refused or self.late(now - tx.taken)):
             return self.give_up(now, tx, 'limit of the fleet' if tx.refused else 'node is behind')
+        if self.awaiting_first_list:
+            return self.step_first_list(now, tx)
         if tx.out:
             return self.step_in_flight(now, tx)
         if tx.read and tx.hops and now >= self.hold_until(tx) and tx.hops[-1].ran:
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -119,7 +119,7 @@
     def update_accepting(self):
         """Start or stop reading from the listening socket."""
         if not self.shut:
-            closed = self.full or self.accepting_elsewhere or not self.node.began()
+            closed = self.full or self.accepting_elsewhere
             (self.port.stopReading if closed else self.port.startReading)()
 
     def crowded(self, no_descriptor):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -34,7 +34,7 @@
 # Times are in ticks of 0.1 ms unless the name says otherwise.
 RESERVED_DESCRIPTORS, MIN_DESCRIPTORS = 32, 4  # for all but clients and caches; for each of these at least
 ARRIVAL_GRACE = 5_000  # new clients stop arriving within this time after SIGTERM
-FIRST_LIST_TIMEOUT = 10_000  # for discovery's first list, until which new clients wait to be accepted
+FIRST_LIST_TIMEOUT = 10_000  # for discovery's first list, until which nothing is sent to servers
 MAX_DRAIN = 30_000  # SIGKILL may follow SIGTERM a little later than this
 SETTLED_IDLE = 2_500  # a client idle for this long is unlikely to send a request while its connection closes
 FIGURES_INTERVAL = 10 * SECOND
@@ -113,7 +113,6 @@
         self.changes = None  # distributed changes, if there is a changes file (changes/node.py)
         self.fleet = None  # limits shared with other nodes, if there is a fleet file (plan/fleet.py)
         self.last = None  # while draining: when all requests have to be answered
-        self.pending_drain = None  # (signal, time) of a SIGTERM that waits for discovery's first list
         self.settling = False
         self.counts = Counter()
 
@@ -173,8 +172,9 @@
     def begin(self, state, fd):
         """Load the remembered list or a predecessor's state, listen, and start to watch discovery.
 
-        Without a predecessor, clients are accepted only after discovery's first list, or once its first watch
-        is lost, since servers of the remembered list may have drained while no process was running.
+        Without a predecessor, requests are sent to servers only after discovery's first list, or once its
+        first watch is lost, since servers of the remembered list may have drained while no process was
+        running. Requests are read from the start on: each waits for the list as long as its time allows.
         state, fd: the predecessor's state and listening socket, or None.
         """
         try:
@@ -184,7 +184,10 @@
             log_warning('remembered list not read', reason=err)
         if state:
             self.import_state(state)
+        else:
+            self.router.await_first_list()
         self.listener.listen(self.reactor, *self.config.listen, *([fd] if fd is not None else []))
+        log_event('listening', node=self.config.name, address='%s:%d' % self.config.listen)
         if state:
             self.serve()
         if self.discovery.pushed:
@@ -195,16 +198,17 @@
         self.deadlines.at(self.clock() + SECOND, self.check_wall_clock, 0)
 
     def first_list_timed_out(self, _):
-        """Accept clients even though discovery has sent no list: a call to it may be queued for longer than
+        """Serve clients even though discovery has sent no list: a call to it may be queued for longer than
         they wait."""
         self.serve()
+        self.settle()
 
     def serve(self):
-        """Start to accept clients."""
+        """Start to serve clients, those first that have waited for discovery's first list."""
+        self.router.end_first_list_wait()
         if self.phase != STARTING:
             return
         self.phase = OUT_OF_ROTATION if self.out_of_rotation else SERVING
-        self.listener.update_accepting()
         if self.handover:
             self.update_shares()
             self.handover.announce_serving()
@@ -215,8 +219,6 @@
             servers=len(self.servers),
             descriptors=self.descriptors(),
         )
-        if self.pending_drain:
-            self.drain(*self.pending_drain)
 
     def ready(self):
         """Return whether clients should use this node (the readiness check)."""
@@ -224,7 +226,7 @@
         return here and not self.out_of_rotation and bool(self.router.caches)
 
     def began(self):
-        """Return whether the node has started to accept clients."""
+        """Return whether the node has started to serve clients, or to drain."""
         return self.phase != STARTING
 
     def can_serve(self):
@@ -233,21 +235,18 @@
 
     def leaving(self):
         """Return whether clients are asked to close their connections."""
-        return self.phase != SERVING
+        return self.phase not in (STARTING, SERVING)
 
-    def drain(self, signum=signal.SIGTERM, since=None):
+    def drain(self, signum=signal.SIGTERM):
         """Handle SIGTERM: answer the requests taken and those that still arrive, then exit.
 
-        While the node starts, clients may already be waiting to be accepted. The drain is then put off until
-        discovery has sent a list or its watch is lost.
+        Before discovery's first list, requests go on waiting for it.
         """
-        since = self.clock() if since is None else since
-        if self.phase == STARTING and self.listener.port:
-            self.pending_drain = self.pending_drain or (signum, since)
-        elif self.phase == STARTING:
+        since = self.clock()
+        if self.phase == STARTING and not self.listener.port:
             self.phase = STOPPED
             self.reactor.stop()
-        elif self.can_serve():
+        elif self.phase == STARTING or self.can_serve():
             self.phase = DRAINING
             if not self.handed:  # otherwise the successor listens on the same socket
                 self.listener.disable_deferred_accept()
@@ -595,6 +594,7 @@
     def body_timed_out(self, active):
         """End a large request whose body was not read to its end, so that no attempt was sent whole."""
         active.tx.limit = self.clock()
+        self.router.set_timer(active.tx.limit, active.tx)  # looked at even if it has no attempt
         for attempt in active.attempts[:]:
             attempt.exchange.cut('unsent')
         self.limit_due(active.number)
@@ -717,8 +717,8 @@
         """Handle the end of the watch on discovery."""
         if not self.discovery.pushed:
             self.router.list_failed(self.clock())
-            self.settle()
         self.serve()
+        self.settle()
 
     # --- decisions --------------------------------------------------------------------------------------
 
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -275,6 +275,13 @@
             pass
         return line
 
+    def until_all(self, *events):
+        """Wait until the node has logged each of these events, in any order."""
+        pending = set(events)
+        while pending:
+            line = self.events.get(timeout=PATIENCE)
+            pending -= {name for name in pending if 'event="%s"' % name in line or 'event=%s' % name in line}
+
     # Process control
 
     def stop(self):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -253,12 +253,12 @@
         self.ask(client, 'early')
         self.signal(signal.SIGTERM)
         self.signal(signal.SIGHUP)
-        self.until('page read')  # both signals are handled in the same iteration
+        self.until_all('draining', 'page read')
         self.assertEqual(
             select.select([self.servers[name].socket for name in self.names], [], [], 0.3)[0], []
         )
         watch.say(chunk(told(5, self.row('c0', lifecycle='DRAINING'), self.row('o', lifecycle='DRAINING'))))
-        self.until('draining')
+        self.until('list')
         self.assertEqual(client.answered()[0], 503)
         self.assertEqual(self.finish(), [])
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1076,14 +1076,17 @@
 
 
 class Phases(Quiet):
-    def test_no_client_is_accepted_before_first_list(self):
+    def test_nothing_is_sent_before_first_list(self):
         """Guards against sends by the remembered list to a server that drained while the node was down."""
-        made, open_ = starting(), []
-        made.listener.port.startReading = lambda: open_.append(made.phase)
-        before = (made.phase, made.ready())
-        made.reactor.advance(0.4)
-        made.listed(False, [Entry(entry('c0', state='DRAINING'))])
-        self.assertEqual((before, open_, made.ready()), ((STARTING, False), [SERVING], False))
+        made = starting()
+        wires = [asked(made), asked(made, PUT % 'read')]
+        before = (made.phase, made.ready(), [status(wire) for wire in wires], len(made.reactor.tcpClients))
+        made.reactor.advance(0.2)
+        made.listed(False, [Entry(entry(name, state='DRAINING')) for name in ('c0', 'o')])
+        after = (made.phase, made.ready(), [status(wire) for wire in wires], len(made.reactor.tcpClients))
+        self.assertEqual(
+            (before, after), ((STARTING, False, [None, None], 1), (SERVING, False, [503, 503], 1))
+        )
 
     def test_node_serves_soon_without_discovery(self):
         silent, away = starting(), starting()
@@ -1109,17 +1112,17 @@
             made.reload(file.name)
         self.assertEqual((made.reactor.tcpClients[-1][:2], made.phase), (('127.0.0.1', 8501), STARTING))
 
-    def test_sigterm_before_serving_accepts_queued_clients_after_first_list(self):
+    def test_sigterm_before_first_list_sends_nothing_by_the_remembered_list(self):
         """The remembered list may name a server that drained while the node was down."""
-        made, open_ = starting(), []
-        made.listener.port.startReading = lambda: open_.append(made.phase)
+        made = starting()
+        first = asked(made)
         made.drain()
-        before = made.phase, list(open_)
+        second = asked(made)
+        before = made.phase, status(first), status(second), len(made.reactor.tcpClients)
         made.listed(False, [Entry(entry('c0', state='DRAINING'))])
-        wire = asked(made)
-        self.assertEqual(
-            (before, made.phase, open_[:1], status(wire)), ((STARTING, []), DRAINING, [SERVING], 503)
-        )
+        third = asked(made)
+        after = made.phase, status(first), status(second), status(third), len(made.reactor.tcpClients)
+        self.assertEqual((before, after), ((DRAINING, None, None, 1), (DRAINING, 503, 503, 503, 1)))
 
     def test_sigterm_before_serving_with_lost_watch_exits_in_time(self):
         made = starting()
