Hand-over: the predecessor accepts again once its successor drains or is lost

What callers saw: connections that the machine accepted and that nobody took. (1) SIGTERM to a successor that serves, with one long answer open: it closes its listening socket after 0.8 s, the predecessor's copy keeps the queue, and requests with 0.3 s waited for the successor's exit. (2) A successor is killed while its predecessor drains: the predecessor listened on and accepted nobody, and its exit reset them. (3) SIGTERM for both: the same.

Cause: a predecessor accepts only once the successor's link has ended or its heartbeats are overdue, and not at all while it exits itself; both hold the listening socket, and one that drains closes only its own copy.

Change: a successor that drains says so ({"serves": false}); the predecessor accepts again, within the descriptors that it had kept back for that, until the successor has exited. One that is exiting itself then drains like a process without a successor: it empties the queue and closes the socket. Heartbeats end with the successor's listening socket, so that a predecessor of an older version accepts 0.1 s later; it takes the new line for nothing new.

--- a/lilacdyke/net/handover.py
+++ b/lilacdyke/net/handover.py
@@ -6,8 +6,9 @@
 
 Each line is a JSON object. The predecessor begins with `{"v": 1, ...}` and its listening socket as a
 descriptor. Then either side sends `{"call": [verb, name], "n": N}` and answers `{"done": N}`; the successor
-sends `{"serves": true}`, the predecessor `{"holds": descriptors}`. If the predecessor's first line has
-`"beats": true`, the successor sends heartbeats, `{"beat": true}`, until it exits.
+sends `{"serves": true}`, and `{"serves": false}` once it drains; the predecessor `{"holds": descriptors}`. If
+the predecessor's first line has `"beats": true`, the successor sends heartbeats, `{"beat": true}`, as long as
+it listens.
 """
 
 import json
@@ -93,7 +94,10 @@
         if 'v' in line and self.peer_is_predecessor:
             self.handover.state_received(self, line)
         elif 'serves' in line and not self.peer_is_predecessor:
-            self.handover.successor_serving()
+            if line['serves']:
+                self.handover.successor_serving()
+            else:
+                self.handover.successor_leaving()
         elif 'beat' in line and not self.peer_is_predecessor:
             self.handover.heartbeat_received()
         elif 'holds' in line and self.peer_is_predecessor and isinstance(line['holds'], int):
@@ -269,9 +273,18 @@
         except Exception as err:  # the node still serves, but cannot hand over
             log_warning('no hand-over possible', reason=err)
 
+    def end(self):
+        """This process drains: the predecessor, if there is one, has to accept clients again."""
+        self.succession.end()
+        if self.predecessor:
+            self.predecessor.send(serves=False)
+
     def send_heartbeat(self, _):
-        """Send the predecessor a heartbeat now and at every interval."""
-        if self.predecessor and self.sends_heartbeats:
+        """Send the predecessor a heartbeat now and at every interval, while this process listens.
+
+        A predecessor of an older version accepts clients again once heartbeats are overdue.
+        """
+        if self.predecessor and self.sends_heartbeats and not self.node.listener.shut:
             self.predecessor.send(beat=True)
             self.deadlines.at(self.clock() + HEARTBEAT_INTERVAL, self.send_heartbeat, 0)
 
@@ -297,6 +310,12 @@
         self.report_descriptors(0)
         self.watch_successor(0)
 
+    def successor_leaving(self):
+        """The successor drains; this process accepts clients again."""
+        self.succession.successor_leaving()
+        log_event('successor leaving', open=len(self.node.active_requests))
+        self.node.update_shares()
+
     def heartbeat_received(self):
         """The successor is alive; if it was unresponsive, it takes the clients again."""
         self.last_heartbeat = self.clock()
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -248,7 +248,7 @@
             self.reactor.stop()
         elif self.phase == STARTING or self.can_serve():
             self.phase = DRAINING
-            if not self.handed:  # otherwise the successor listens on the same socket
+            if not self.successor_listens:
                 self.listener.disable_deferred_accept()
             log_event(
                 'draining',
@@ -258,7 +258,7 @@
                 succeeded=self.successor_accepts,
             )
             if self.handover:
-                self.handover.succession.end()
+                self.handover.end()
             self.last = since + min(self.listener.longest_limit, MAX_DRAIN) + ARRIVAL_GRACE
             for active in self.active_requests:
                 self.cap_deadline(active)
@@ -297,7 +297,7 @@
         )
         # With a successor the listening socket stays open until the exit: nobody else would accept if the
         # successor became unresponsive.
-        held = self.handed or self.keeps_listening
+        held = self.successor_listens or self.keeps_listening
         if (
             now >= self.last - ARRIVAL_GRACE
             or not held
@@ -376,6 +376,11 @@
         """Whether the successor has taken over this node, even if it is unresponsive now."""
         return bool(self.handover) and self.handover.succession.handed
 
+    @property
+    def successor_listens(self):
+        """Whether a successor listens on the same socket and goes on doing so."""
+        return bool(self.handover) and self.handover.succession.successor_listens
+
     @property
     def keeps_listening(self):
         """Whether this process has to keep its listening socket while exiting."""
--- a/lilacdyke/net/succession.py
+++ b/lilacdyke/net/succession.py
@@ -8,8 +8,8 @@
 """
 
 # States of the successor: there is none; it has the state and the listening socket; it serves clients; it
-# served clients but has stopped sending heartbeats.
-NONE, STATE_SENT, SERVING, UNRESPONSIVE = 'none', 'given', 'serves', 'silent'
+# served clients but has stopped sending heartbeats; it served clients but is about to exit, or has exited.
+NONE, STATE_SENT, SERVING, UNRESPONSIVE, LEAVING = 'none', 'given', 'serves', 'silent', 'leaving'
 RESERVED_SHARE = 4  # a predecessor keeps one in this many descriptors, so that it can accept clients again
 
 
@@ -47,10 +47,20 @@
         if self.successor == SERVING:
             self.successor = UNRESPONSIVE
 
+    def successor_leaving(self):
+        """The successor drains, so this process accepts clients too.
+
+        Otherwise nobody would once the successor stops listening: its exit may be seconds away.
+        """
+        if self.successor in (SERVING, UNRESPONSIVE):
+            self.successor = LEAVING
+
     def successor_gone(self):
-        """The successor's link has ended: it exited, or its own successor has taken over."""
-        if not (self.ending and self.successor in (SERVING, UNRESPONSIVE)):
-            self.successor = NONE  # otherwise the successor keeps the node, since this process exits
+        """The successor's link has ended: it exited, or its own successor has taken over.
+
+        If this process is exiting too, the descriptors stay with that next successor, if there is one.
+        """
+        self.successor = LEAVING if self.ending and self.successor in (SERVING, UNRESPONSIVE) else NONE
 
     def predecessor_reported(self, holds):
         """The predecessor holds this many descriptors now."""
@@ -71,6 +81,11 @@
         """Whether this process accepts new clients."""
         return self.successor != SERVING
 
+    @property
+    def successor_listens(self):
+        """Whether the successor goes on listening when this process exits."""
+        return self.successor in (SERVING, UNRESPONSIVE)
+
     @property
     def keeps_listening(self):
         """Whether to keep the listening socket open while exiting, as the successor does not accept."""
@@ -78,8 +93,8 @@
 
     @property
     def handed(self):
-        """Whether the successor has this node's share of the budgets; it keeps that while unresponsive."""
-        return self.successor in (SERVING, UNRESPONSIVE)
+        """Whether the successor has this node's share of the budgets; it keeps that until it has exited."""
+        return self.successor in (SERVING, UNRESPONSIVE, LEAVING)
 
     @property
     def reserved(self):
