--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -187,9 +187,10 @@
         else:
             self.router.await_first_list()
         self.listener.listen(self.reactor, *self.config.listen, *([fd] if fd is not None else []))
-        log_event('listening', node=self.config.name, address='%s:%d' % self.config.listen)
         if state:
             self.serve()
+        else:
+            log_event('waiting for list', node=self.config.name, address='%s:%d' % self.config.listen)
         if self.discovery.pushed:
             self.discovery.open()
         self.settle()
