Refuse what waits in the system's queue while all slots are taken, in time

What callers saw: with all slots for clients taken by requests whose servers hang, requests of clients that wait for 0.3 s got their 503 after 2.1 to 2.8 s; a drain reset them (no answer at all).

Cause: the node stopped accepting. The system goes on, and how long a request has waited is known only once the node has accepted its connection too.

Change: the queue is in order of arrival, so the first connection alone is accepted beyond the budget and held unread (net/overflow.py).

--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -36,6 +36,7 @@
         self.discards_body = False  # whether the rest of a large body is read and discarded
         self.discarded = 0  # bytes discarded since the last answer
         self.reprieved = False  # whether this request was granted a reprieve (phases.py)
+        self.over_budget = False  # whether it has no slot, so that its requests are refused
         self.closed_for = None  # why this side closes the connection; None: it does not
 
     # Transport events
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -12,6 +12,7 @@
 from ..values import InvalidValueError, number, to_ticks_floor
 from . import http
 from .client import ClientConnection
+from .overflow import Overflow
 from .phases import ASKED, BUSY, CHECK_INTERVAL_FULL, FRESH, FULL, LOOK, NORMAL, STREAMING, Phases
 from .sockets import guard
 from .tables import SlotTable
@@ -36,6 +37,7 @@
         self.tenants = {t.name.encode() for t in terms.tenants}
         self.phases = Phases(clock)
         self.port, self.full, self.shut = None, False, False
+        self.overflow = Overflow(self)
         self.accepting_elsewhere = False  # whether another process of this node accepts connections
         self.last_connected, self.connections = 0, 0  # time of the last connection; number of connections
         self.idle_closed_at = 0  # when an idle connection was last closed
@@ -86,12 +88,14 @@
         """Register a new connection.
 
         Well before slots run out, the longest idle one is closed, so that clients or a load balancer
-        that keep connections open do not exhaust them. Once all slots are taken nothing is accepted;
-        connections wait in the system's queue.
+        that keep connections open do not exhaust them. Once all slots are taken connections wait in the
+        system's queue, and the first of them beyond the budget.
         """
         client.number = self.table.add(client)
         self.last_connected, self.connections = self.clock(), self.connections + 1
         self.put(client, FRESH)
+        if self.slots_taken() > self.budget:
+            self.overflow.admit(client)
         if len(self.table) > self.budget * EVICTION_SHARE:
             self.phases.make_room(1, BUSY)
         self.check_slots()
@@ -105,11 +109,16 @@
         """Close overdue connections, more often and a few at a time, while all slots are taken."""
         if self.full:
             self.phases.make_room(max(1, self.budget // 16), FULL)
+            self.check_queue()
             self.deadlines.at(self.clock() + CHECK_INTERVAL_FULL, self.evict_while_full, 0)
 
+    def slots_taken(self):
+        """Return the number of connections without those beyond the budget."""
+        return len(self.table) - self.overflow.open
+
     def check_slots(self):
         """Stop accepting when all slots are taken, and resume when one is free."""
-        full = len(self.table) >= self.budget
+        full = self.slots_taken() >= self.budget
         if full != self.full and not self.shut:
             self.full = full
             self.update_accepting()
@@ -154,11 +163,17 @@
         """
         if self.clock() < max(min(self.last_connected, until), self.idle_closed_at) + QUIET_PERIOD:
             return False
-        if not (self.full or self.shut or self.accepting_elsewhere):
-            before, self.port.numberAccepts = self.connections, 1
-            self.port.doRead()
-            return self.connections == before
-        return True
+        if self.shut or self.accepting_elsewhere:
+            return True
+        if self.full and (self.overflow.waiting or not self.overflow.has_room()):
+            return False
+        return not self.accept_one()
+
+    def accept_one(self):
+        """Accept one connection if one is queued; return whether it was."""
+        before, self.port.numberAccepts = self.connections, 1
+        self.port.doRead()
+        return self.connections > before
 
     def stop_listening(self):
         """Close the listening socket."""
@@ -170,7 +185,16 @@
         """Unregister a connection that has ended."""
         self.phases.remove(client)
         self.table.remove(client.number)
+        self.overflow.forget(client)
+        self.overflow.slot_freed()
         self.check_slots()
+        if client.over_budget:
+            self.deadlines.at(self.clock(), self.check_queue, 0)
+
+    def check_queue(self, _=0):
+        """While all slots are taken, see to the connections in the system's queue."""
+        if self.full and not (self.shut or self.accepting_elsewhere):
+            self.overflow.step()
 
     def schedule_read(self, client):
         """Schedule reading of pipelined requests in a later reactor iteration."""
@@ -256,6 +280,9 @@
             self.node.count('malformed')
             client.refuse(409, 'this Req-Id is open')
             return
+        if client.over_budget:
+            self.overflow.refuse(client)
+            return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
         self.node.take(client, message, row, key, wait, client.received_at)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -340,6 +340,17 @@
         self.listener.closed(protocols[0])
         self.assertEqual(self.reading, [False, True])
 
+    def test_connections_beyond_the_budget_are_held_or_refused(self):
+        for _ in range(4):
+            asked(self.made)
+        (held, held_wire), (refused, refused_wire) = client(self.made), client(self.made)
+        self.assertEqual((held_wire.producerState, refused_wire.producerState), ('paused', 'producing'))
+        refused.dataReceived((PUT % 'once').encode())
+        before = status(refused_wire), self.made.counts['turned_away'], held.over_budget
+        lost(next(iter(self.listener.table)).transport)
+        after = held.over_budget, held_wire.producerState, self.listener.slots_taken()
+        self.assertEqual((before, after), ((503, 1, True), (False, 'producing', 4)))
+
     def test_longest_idle_connection_is_evicted(self):
         wires = [asked(self.made, READY) for _ in range(2)]
         self.made.reactor.advance(0.2)
