Close the listening socket at once, right after a last look into its queue

What callers saw: a connection that the machine accepts as the node's drain closes its listening socket is reset, with its request unread.

Cause: Twisted closes a port one iteration of the reactor after stopListening(). What arrives meanwhile, or is left in the queue where the drain's time is over, goes with the socket.

Change: Port.stopListening closes at once, and the listener accepts what is queued right before that, unless a successor has the same queue. What is left are the microseconds between two system calls.

--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -20,6 +20,7 @@
 EVICTION_SHARE = 0.5  # share of the budget in use from which each new connection evicts an idle one
 QUIET_PERIOD = 2_500  # ticks without a new connection after which none is expected
 RESERVED_SLOTS = 2  # free slots at which connections are closed after their answer
+MAX_LAST_ACCEPTS = 16  # connections accepted right before the listening socket is closed
 MAX_BAD_REQUESTS = 4  # unknown paths or methods per connection before it is closed
 
 
@@ -176,9 +177,13 @@
         return self.connections > before
 
     def stop_listening(self):
-        """Close the listening socket."""
+        """Close the listening socket, right after a last look into its queue, which would be reset."""
         if not self.shut:
             self.shut = True
+            self.port.stopReading()
+            if not (self.full or self.accepting_elsewhere):
+                self.port.numberAccepts = MAX_LAST_ACCEPTS
+                self.port.doRead()
             self.port.stopListening()
 
     def closed(self, client):
--- a/lilacdyke/net/transports.py
+++ b/lilacdyke/net/transports.py
@@ -11,7 +11,8 @@
 
 from twisted.internet import tcp
 from twisted.internet.error import getConnectError
-from twisted.internet.main import CONNECTION_LOST
+from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
+from twisted.python.failure import Failure
 
 from .local_errors import RETRIED_EPOLL_ERRNOS, RETRIED_IO_ERRNOS
 
@@ -102,6 +103,18 @@
 
     transport = AcceptedConnection
 
+    def stopListening(self):
+        """Close the socket at once.
+
+        Twisted closes it an iteration later, and the connections that arrive meanwhile are reset.
+        """
+        self.disconnecting = True
+        self.stopReading()
+        self.socket.close()
+        self.connectionLost(Failure(CONNECTION_DONE))
+
+    loseConnection = stopListening
+
 
 class RetryingReactor:
     """Reactor mixin, placed before Twisted's class, that lets a transport defer its next read or write."""
