--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -894,12 +894,12 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload, path))
     if early:
         reactor.callFromThread(node.reload, path)
+    gc.collect()  # before the node listens, as clients would wait for it
     try:
         node.start(os.environ.get('TMPDIR'))
     except CannotListenError as err:
         log_warning('cannot listen', reason=err)
         return 1
-    gc.collect()
     gc.freeze()  # objects made at the start live forever, so the garbage collector can skip them
     reactor.run(installSignalHandlers=False)
     return node.exit_code
--- a/tests/test_full_slots.py
+++ b/tests/test_full_slots.py
@@ -26,6 +26,44 @@
     return made
 
 
+class FailedAccept(Crossing):
+    """The process has no descriptor left for a while, although its budget has."""
+
+    settings = staticmethod(settings)
+
+    def limit_descriptors(self, number):
+        resource.prlimit(self.running.pid, resource.RLIMIT_NOFILE, (number, self.sockets))
+
+    def test_requests_are_served_once_there_are_descriptors(self):
+        self.seen_so_far()
+        self.limit_descriptors(4)
+        waiting = [self.client() for _ in range(5)]
+        for number, line in enumerate(waiting):
+            self.ask(line, 'w%d' % number)
+        self.until('call failed: accept EMFILE')
+        self.limit_descriptors(self.sockets)
+        for _ in waiting:
+            hop = self.servers['c0'].take()
+            hop.request()
+            hop.answer()
+        self.assertEqual([line.answered()[0] for line in waiting], [200] * 5)
+
+    def test_idle_connections_make_room(self):
+        idle = [self.client() for _ in range(6)]
+        for number, line in enumerate(idle):
+            self.served(line, 'idle%d' % number) if not number else self.ready(line)
+        time.sleep(0.2)
+        taken = max(int(name) for name in os.listdir('/proc/%d/fd' % self.running.pid))
+        self.limit_descriptors(taken + 1)
+        line, begun = self.client(), time.monotonic()
+        self.ready(line)
+        self.assertLess(time.monotonic() - begun, WAIT)
+
+    def ready(self, line):
+        line.say(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+        self.assertEqual(line.answered()[0], 200)
+
+
 class FullSlots(Crossing):
     """All slots for clients are taken by requests whose servers hang."""
 
