Connections beyond the budget: give back slots, end after any answer

(1) A connection beyond the budget that was answered without being refused (/ready, an unknown path) was kept, and its later requests were refused although slots were free. (2) The same for a request that was still incomplete as a slot became free. (3) The early answer to a large request closed the connection under the rest of its body, which resets it, and the answer may go with that. (4) A last look into the queue could take more than there are slots, and the one held was then looked at no more.

--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -129,8 +129,8 @@
     def update_accepting(self):
         """Start or stop reading from the listening socket."""
         if not self.shut:
-            closed = self.full or self.accepting_elsewhere
-            (self.port.stopReading if closed else self.port.startReading)()
+            reads = self.accepts() and not self.full
+            (self.port.startReading if reads else self.port.stopReading)()
 
     def crowded(self, no_descriptor):
         """Handle a failed accept by pausing for a moment.
@@ -164,12 +164,16 @@
         """
         if self.clock() < max(min(self.last_connected, until), self.idle_closed_at) + QUIET_PERIOD:
             return False
-        if self.shut or self.accepting_elsewhere:
+        if not self.accepts():
             return True
         if self.full and (self.overflow.waiting or not self.overflow.has_room()):
             return False
         return not self.accept_one()
 
+    def accepts(self):
+        """Return whether this process takes connections from the system's queue."""
+        return not (self.shut or self.accepting_elsewhere)
+
     def accept_one(self):
         """Accept one connection if one is queued; return whether it was."""
         before, self.port.numberAccepts = self.connections, 1
@@ -178,13 +182,15 @@
 
     def stop_listening(self):
         """Close the listening socket, right after a last look into its queue, which would be reset."""
-        if not self.shut:
-            self.shut = True
-            self.port.stopReading()
-            if not (self.full or self.accepting_elsewhere):
-                self.port.numberAccepts = MAX_LAST_ACCEPTS
-                self.port.doRead()
-            self.port.stopListening()
+        if self.shut:
+            return
+        self.port.stopReading()
+        slots = self.budget - self.slots_taken()
+        if self.accepts() and slots > 0:
+            self.port.numberAccepts = min(MAX_LAST_ACCEPTS, slots)
+            self.port.doRead()
+        self.shut = True
+        self.port.stopListening()
 
     def closed(self, client):
         """Unregister a connection that has ended."""
@@ -198,7 +204,7 @@
 
     def check_queue(self, _=0):
         """While all slots are taken, see to the connections in the system's queue."""
-        if self.full and not (self.shut or self.accepting_elsewhere):
+        if self.full:
             self.overflow.step()
 
     def schedule_read(self, client):
@@ -285,7 +291,7 @@
             self.node.count('malformed')
             client.refuse(409, 'this Req-Id is open')
             return
-        if client.over_budget:
+        if not self.overflow.has_slot(client):
             self.overflow.refuse(client)
             return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
@@ -297,6 +303,10 @@
         """
         crowded = self.phases.count(ASKED) >= self.budget - RESERVED_SLOTS
         client.keep_alive = (
-            client.keep_alive and not crowded and not self.node.leaving() and not client.upload
+            client.keep_alive
+            and not crowded
+            and not self.node.leaving()
+            and not client.upload
+            and not client.over_budget
         )
         return client.keep_alive
--- a/lilacdyke/net/overflow.py
+++ b/lilacdyke/net/overflow.py
@@ -37,11 +37,15 @@
 
     def slot_freed(self):
         """Serve the waiting connection if there is a slot for it now."""
-        client = self.waiting
-        if client and self.listener.slots_taken() < self.listener.budget:
+        if self.waiting and self.has_slot(self.waiting):
+            self.read(self.waiting)
+
+    def has_slot(self, client):
+        """Return whether a connection has a slot. One beyond the budget gets one if there is one now."""
+        if client.over_budget and self.listener.slots_taken() < self.listener.budget:
             client.over_budget = False
             self.open -= 1
-            self.read(client)
+        return not client.over_budget
 
     def step(self):
         """Refuse what has waited for too long, and look at the next connection in the system's queue."""
@@ -50,7 +54,7 @@
                 return
             if self.waiting:
                 self.read(self.waiting)
-            if not self.has_room() or not self.listener.accept_one():
+            if not (self.has_room() and self.listener.accepts() and self.listener.accept_one()):
                 return
 
     def has_room(self):
@@ -71,5 +75,5 @@
         """Refuse the request of a connection beyond the budget, and close that as soon as possible."""
         client.keep_alive = False
         client.reply(self.listener.refusal())
-        if nothing_unread(client.transport):
+        if not client.discards_body and nothing_unread(client.transport):
             client.finish_close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -351,6 +351,25 @@
         after = held.over_budget, held_wire.producerState, self.listener.slots_taken()
         self.assertEqual((before, after), ((503, 1, True), (False, 'producing', 4)))
 
+    def test_connection_beyond_the_budget_is_closed_after_any_answer(self):
+        for _ in range(4):
+            asked(self.made)
+        client(self.made)  # held
+        wires = [asked(self.made, text) for text in (READY, 'GET /none HTTP/1.1\r\nHost: x\r\n\r\n')]
+        self.assertEqual([b'Connection: close' in wire.value() for wire in wires], [True, True])
+
+    def test_request_that_completes_as_a_slot_is_free_is_served(self):
+        first = [asked(self.made) for _ in range(4)][0]
+        client(self.made)  # held
+        late = asked(self.made, 'GET /read/k HTTP/1.1\r\n')
+        held = self.listener.overflow.waiting
+        lost(first)
+        held.connectionLost()
+        before = self.listener.overflow.open
+        late.protocol.dataReceived(b'Host: x\r\nReq-Id: late\r\n\r\n')
+        self.assertEqual((before, self.listener.overflow.open, self.listener.slots_taken()), (1, 0, 4))
+        self.assertEqual((self.made.counts['taken'], self.made.counts['turned_away']), (5, 0))
+
     def test_longest_idle_connection_is_evicted(self):
         wires = [asked(self.made, READY) for _ in range(2)]
         self.made.reactor.advance(0.2)
