Lab: excuse only what was asked before a node died; starts into an outage

What a killed process held is the client's to retry; the judge of answers excused all that was asked within 2 s of the death and got no answer, so also what the process that came back took and left unread.

--- a/lilacdyke/lab/broken_nodes.py
+++ b/lilacdyke/lab/broken_nodes.py
@@ -12,7 +12,9 @@
 from ..net.client import ClientConnection
 from ..net.discovery import Discovery, started
 from ..net.links import Link
-from ..net.node import Node
+from ..net.listener import Listener
+from ..net.node import STARTING, Node
+from ..net.overflow import Overflow
 from ..net.phases import Phases
 from ..net.start_times import StartTimes
 from ..net.tables import Deadlines, SlotTable
@@ -218,6 +220,27 @@
     put(Upload, 'due', lambda self: None)
 
 
+def unread_before_first_list(put, uniform):
+    usual_update, usual_serve = Listener.update_accepting, Node.serve
+
+    def update_accepting(self):
+        if self.node.phase == STARTING:
+            self.port.stopReading()
+        else:
+            usual_update(self)
+
+    def serve(self):
+        usual_serve(self)
+        self.listener.update_accepting()
+
+    put(Listener, 'update_accepting', update_accepting)
+    put(Node, 'serve', serve)
+
+
+def queue_left_unread(put, uniform):
+    put(Overflow, 'step', lambda self: None)
+
+
 def wakeup_lost(put, uniform):
     usual = Deadlines.at
     put(
--- a/lilacdyke/lab/judges.py
+++ b/lilacdyke/lab/judges.py
@@ -122,7 +122,7 @@
         if not answers or answers[0][0] == 'cut':
             when = answers[0][1] if answers else last
             excused = (
-                case.killed(node, at - 2_000_000, max(when, last))
+                case.killed(node, at - case.travel, max(when, last))
                 or case.had_fault(PAUSE_FAULTS, at, last, node_number)
                 or clients_disturbed(case, at, last)
                 or id_ in giving
--- a/lilacdyke/lab/mutant_scenarios.py
+++ b/lilacdyke/lab/mutant_scenarios.py
@@ -156,6 +156,43 @@
     )
 
 
+def start_in_outage(base):
+    """Kill nodes while discovery is silent; deadlines are short."""
+    rows = [replace(p, goal_s=0.12, limit_s=0.3, work_ms=5.0) for p in base.profiles]
+    silence = Event(at_s=0.5, kind='silence', what=list(range(base.nodes)), for_s=6.0)
+    kills = [
+        Event(at_s=1.0 + 1.5 * number, kind='kill', what=[number % base.nodes], for_s=0.5)
+        for number in range(3)
+    ]
+    return replace(
+        base,
+        length_s=7.0,
+        profiles=rows,
+        tenants=[],
+        clients=replace(base.clients, rude=0.0, leave=0.0, slow_read=0.0, notice_s=2.0),
+        load=replace(base.load, rate=100.0),
+        events=[silence, *kills],
+    )
+
+
+def all_slots_taken(base):
+    """Give nodes few slots, which requests with long deadlines take while servers hang."""
+    long = replace(base.profiles[0], goal_s=0.5, limit_s=3.0, work_ms=5.0, share=0.5)
+    short = replace(long, name='short', goal_s=0.15, limit_s=0.3)
+    return replace(
+        base,
+        length_s=6.0,
+        nodes=1,
+        zones=1,
+        profiles=[long, short],
+        tenants=[],
+        clients=replace(base.clients, rude=0.0, leave=0.0, slow_read=0.0, fresh=0.0),
+        limits=replace(base.limits, sockets=48),
+        load=replace(base.load, rate=60.0),
+        events=[Event(at_s=1.0, kind='hung', count=99, for_s=3.0)],
+    )
+
+
 def suspend_servers(base):
     """Suspend servers for most of the run, among slow ones."""
     return replace(
--- a/lilacdyke/lab/mutants.py
+++ b/lilacdyke/lab/mutants.py
@@ -162,6 +162,20 @@
             (),
             mutant_scenarios.long_requests,
         ),
+        (
+            'unread_before_first_list',
+            'reads no client before the first list',
+            broken_nodes.unread_before_first_list,
+            (),
+            mutant_scenarios.start_in_outage,
+        ),
+        (
+            'queue_left_unread',
+            'leaves the accept queue alone while all slots are taken',
+            broken_nodes.queue_left_unread,
+            (),
+            mutant_scenarios.all_slots_taken,
+        ),
         ('wakeup_lost', 'loses a wake-up', broken_nodes.wakeup_lost, ('hung', 'slow')),
         (
             'limit_ignored',
