--- a/tests/test_first_list.py
+++ b/tests/test_first_list.py
@@ -13,7 +13,18 @@
 from lilacdyke.net.node import DRAINING, SERVING, STARTING
 
 from .crossings import PATIENCE, Crossing, chunk, told
-from .helpers import SETTINGS, asked, client, connection_up, entry, lost, refused, said, starting
+from .helpers import (
+    SETTINGS,
+    asked,
+    changed_settings,
+    client,
+    connection_up,
+    entry,
+    lost,
+    refused,
+    said,
+    starting,
+)
 from .test_net import PUT, READY, Quiet, status
 
 GET = 'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Deadline: %s\r\n\r\n'
@@ -72,6 +83,19 @@
         connection_up(made).protocol.dataReceived(said())
         self.assertEqual((before, connections(made), status(wire)), ([], [8000], 200))
 
+    def test_sent_by_the_remembered_list_once_the_wait_is_over(self):
+        for mode in ('pushed', 'on_request'):
+            with self.subTest(mode=mode):
+                made = starting(settings=changed_settings(membershipMode=mode))
+                made.reactor.pump([0.1] * 9)
+                wire = asked(made)
+                before = made.phase, connections(made)
+                made.reactor.advance(0.15)
+                connection_up(
+                    made, [row[1] for row in made.reactor.tcpClients].index(8000)
+                ).protocol.dataReceived(said())
+                self.assertEqual((before, made.phase, status(wire)), ((STARTING, []), SERVING, 200))
+
     def test_not_sent_to_server_that_began_to_drain(self):
         """Guards against sends by the remembered list while discovery's list may still come."""
         for text in (GET % (1, 1.0), PUT % 'once', PUT % 'read'):
