--- a/lilacdyke/__main__.py
+++ b/lilacdyke/__main__.py
@@ -122,7 +122,7 @@
 @log_level
 def serve(config, fleet, changes, lines_per_second, log_level):
     """Run a node until SIGTERM has drained it."""
-    from .net import logs, node
+    from .net import logs, process
 
     logs.configure(log_level)
     early = []  # not empty if SIGHUP arrives before the node handles it
@@ -130,7 +130,7 @@
     node_config = with_operator_address(read_page(config))
     fleet = read_fleet_for_node(node_config, fleet) if fleet else None
     changes = read_changes(node_config, changes) if changes else None
-    sys.exit(node.serve(node_config, config, fleet, early, changes, lines_per_second))
+    sys.exit(process.serve(node_config, config, fleet, early, changes, lines_per_second))
 
 
 @main.command()
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -4,8 +4,6 @@
 out. It makes no routing decisions itself, but ensures that each request it has taken gets exactly one answer.
 """
 
-import gc
-import os
 import signal
 from collections import Counter
 from random import Random
@@ -24,7 +22,7 @@
 from .local_errors import errno_name
 from .logs import LOG, log_event, log_warning
 from .partial_answers import PartialAnswers
-from .sockets import Reactor
+from .shutdown import ARRIVAL_GRACE, SETTLED_IDLE, Shutdown
 from .start_times import StartTimes
 from .system import System
 from .tables import Deadlines, SlotTable
@@ -33,10 +31,7 @@
 STARTING, SERVING, OUT_OF_ROTATION, DRAINING, STOPPED = 'starting', 'serving', 'away', 'draining', 'stopped'
 # Times are in ticks of 0.1 ms unless the name says otherwise.
 RESERVED_DESCRIPTORS, MIN_DESCRIPTORS = 32, 4  # for all but clients and caches; for each of these at least
-ARRIVAL_GRACE = 5_000  # new clients stop arriving within this time after SIGTERM
 FIRST_LIST_TIMEOUT = 10_000  # for discovery's first list, until which nothing is sent to servers
-MAX_DRAIN = 30_000  # SIGKILL may follow SIGTERM a little later than this
-SETTLED_IDLE = 2_500  # a client idle for this long is unlikely to send a request while its connection closes
 FIGURES_INTERVAL = 10 * SECOND
 STEP_SECONDS = 0.1  # smallest step of the wall clock that is reported
 MILLISECOND = SECOND // 1_000
@@ -107,12 +102,12 @@
         )
         self.discovery = Discovery(reactor, self.deadlines, self.clock, config, self.uniform, self)
         self.partial_answers = PartialAnswers(self)
+        self.shutdown = Shutdown(self)
         self.operator_server = None
         self.out_of_rotation, self.away_since = False, 0  # by operators; since when
         self.handover, self.exit_code = None, 0  # links to the node's other processes, if it can hand over
         self.changes = None  # distributed changes, if there is a changes file (changes/node.py)
         self.fleet = None  # limits shared with other nodes, if there is a fleet file (plan/fleet.py)
-        self.last = None  # while draining: when all requests have to be answered
         self.settling = False
         self.counts = Counter()
 
@@ -243,36 +238,12 @@
 
         Before discovery's first list, requests go on waiting for it.
         """
-        since = self.clock()
         if self.phase == STARTING and not self.listener.port:
             self.phase = STOPPED
             self.reactor.stop()
         elif self.phase == STARTING or self.can_serve():
             self.phase = DRAINING
-            if not self.successor_listens:
-                self.listener.disable_deferred_accept()
-            log_event(
-                'draining',
-                signal=signum,
-                open=len(self.active_requests),
-                clients=len(self.listener.table),
-                succeeded=self.successor_accepts,
-            )
-            if self.handover:
-                self.handover.end()
-            self.last = since + min(self.listener.longest_limit, MAX_DRAIN) + ARRIVAL_GRACE
-            for active in self.active_requests:
-                self.cap_deadline(active)
-            self.deadlines.at(self.last, self.listener.abort_streaming, 0)
-            self.deadlines.at(since + ARRIVAL_GRACE, self.drain_step, since)
-
-    def cap_deadline(self, active):
-        """Cap a request's limit at the end of the drain, as SIGKILL does not wait for the longest limits."""
-        tx = active.tx
-        if self.last and tx.limit is not None and tx.limit > self.last:
-            tx.limit = self.last
-            self.router.set_timer(tx.limit, tx)
-            self.deadlines.at(tx.limit, self.limit_due, active.number)
+            self.shutdown.begin(signum)
 
     def reload(self, path):
         """Handle SIGHUP: apply the discovery address of the node's page.
@@ -288,32 +259,6 @@
             return
         log_event('page read', discovery='%s:%d' % where, moved=self.discovery.move(where))
 
-    def drain_step(self, since):
-        """Close idle connections, and exit once no client is left or the drain's time is over."""
-        now = self.clock()
-        # With a successor no new clients arrive here, so first close only connections that have been idle for
-        # long: a request is unlikely to cross their close.
-        self.listener.close_idle(
-            SETTLED_IDLE if self.successor_accepts and now < since + 4 * ARRIVAL_GRACE else 0
-        )
-        # With a successor the listening socket stays open until the exit: nobody else would accept if the
-        # successor became unresponsive.
-        held = self.successor_listens or self.keeps_listening
-        if (
-            now >= self.last - ARRIVAL_GRACE
-            or not held
-            and self.listener.no_clients_expected(since + ARRIVAL_GRACE)
-        ):
-            self.listener.stop_listening()
-        if (
-            not len(self.listener.table)
-            and (self.listener.shut or not self.keeps_listening and held)
-            or now >= self.last + ARRIVAL_GRACE // 5
-        ):
-            self.stop()
-        else:
-            self.deadlines.at(now + ARRIVAL_GRACE // 20, self.drain_step, since)
-
     def stop(self, _=0):
         """Stop the process, one turn after the answers that are still being streamed were aborted."""
         if self.listener.abort_streaming():
@@ -488,7 +433,7 @@
         active.tx.ref, active.shared = active, self.fleet is not None and not active.tx.refused
         if limit is not None:
             self.deadlines.at(limit, self.limit_due, active.number)
-        self.cap_deadline(active)
+        self.shutdown.cap_deadline(active)
         self.settle()
 
     def body_sent(self, active):
@@ -500,7 +445,7 @@
         limit = when + active.wait
         self.router.body_received(self.clock(), active.tx, limit)
         self.deadlines.at(limit, self.limit_due, active.number)
-        self.cap_deadline(active)
+        self.shutdown.cap_deadline(active)
         for attempt in active.attempts:
             if not self.config.terms.may_cancel:
                 self.deadlines.at(limit, self.attempt_limit_due, attempt.number)
@@ -863,43 +808,3 @@
             **self.counts,
         )
         self.deadlines.at(self.clock() + FIGURES_INTERVAL, self.figures, 0)
-
-
-def serve(config, path, fleet=None, early=(), changes=None, lines_per_second=0):
-    """Run a node until it has drained, and return its exit code.
-
-    path: of its page, for SIGHUP; fleet, changes: the contents of these files, or None; early: not empty if
-    SIGHUP came before or while the page was read, which is then read again; lines_per_second: limit of the
-    log on single requests; 0: no such lines.
-    """
-    from twisted.internet.main import installReactor
-    from twisted.logger import STDLibLogObserver, globalLogBeginner
-
-    globalLogBeginner.beginLoggingTo([STDLibLogObserver()], redirectStandardIO=False)
-    reactor = Reactor()
-    reactor.shared = config.operator is not None
-    installReactor(reactor)
-    node = Node(config, reactor, lines_per_second=lines_per_second)
-    if fleet:
-        from ..plan.fleet import FleetMember  # imported only where it is used
-
-        node.fleet = FleetMember(node, fleet)
-    if changes:
-        from ..changes.node import NodeChanges  # imported only where it is used
-
-        node.changes = NodeChanges(reactor, node.elapsed, node.uniform, config.name, config.rank, changes)
-        node.changes.start()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signum, lambda n, _: reactor.callFromThread(node.drain, n))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload, path))
-    if early:
-        reactor.callFromThread(node.reload, path)
-    gc.collect()  # before the node listens, as clients would wait for it
-    try:
-        node.start(os.environ.get('TMPDIR'))
-    except CannotListenError as err:
-        log_warning('cannot listen', reason=err)
-        return 1
-    gc.freeze()  # objects made at the start live forever, so the garbage collector can skip them
-    reactor.run(installSignalHandlers=False)
-    return node.exit_code
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -203,7 +203,7 @@
             settings=changed_settings(profiles=[dict(row, hardLimitS=3.0) for row in SETTINGS['profiles']])
         )
         made.drain()
-        last = (made.last - made.clock()) / 10_000  # seconds until all requests have to be answered
+        last = (made.shutdown.last - made.clock()) / 10_000  # seconds until all requests have to be answered
         asked(made)  # keeps the node from exiting sooner
         made.reactor.advance(1.0)
         wire = asked(made, WRITE.replace('1.1', '1.0'))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1159,7 +1159,9 @@
         made.drain()
         told = made.clock()
         refused(made)
-        self.assertEqual((made.phase, made.last), (DRAINING, told + made.listener.longest_limit + 5_000))
+        self.assertEqual(
+            (made.phase, made.shutdown.last), (DRAINING, told + made.listener.longest_limit + 5_000)
+        )
 
     def test_ready_only_when_able_to_serve(self):
         empty = {'generation': 0, 'reset': True, 'instances': []}
