Serve the connection that waits for a slot when the budget grows, too

What callers saw, by reading: with all slots taken, a connection held beyond the budget stays unread after a hand-over or a successor's exit, until some other connection closes.

Cause: only Listener.closed looked whether there is a slot for it. A budget that grows ends the full state, and with it the look at the queue every 10 ms.

Change: check_slots looks, which runs after each opening, closing and change of the budget. Without an operators' address the budget never changes.

test_net.Room.test_held_connection_is_served_when_the_budget_grows fails on the tree before (still paused) and passes; test_net, test_full_slots, test_last_accept, test_upgrade and test_upgrade_ends pass.

--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -118,7 +118,11 @@
         return len(self.table) - self.overflow.open
 
     def check_slots(self):
-        """Stop accepting when all slots are taken, and resume when one is free."""
+        """Stop accepting when all slots are taken, and resume when one is free.
+
+        To be called after a connection has opened or closed, and after a change of the budget.
+        """
+        self.overflow.serve_waiting()
         full = self.slots_taken() >= self.budget
         if full != self.full and not self.shut:
             self.full = full
@@ -197,7 +201,6 @@
         self.phases.remove(client)
         self.table.remove(client.number)
         self.overflow.forget(client)
-        self.overflow.slot_freed()
         self.check_slots()
         if client.over_budget:
             self.deadlines.at(self.clock(), self.check_queue, 0)
--- a/lilacdyke/net/overflow.py
+++ b/lilacdyke/net/overflow.py
@@ -35,7 +35,7 @@
         if self.waiting is client:
             self.waiting = None
 
-    def slot_freed(self):
+    def serve_waiting(self):
         """Serve the waiting connection if there is a slot for it now."""
         if self.waiting and self.has_slot(self.waiting):
             self.read(self.waiting)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -370,6 +370,15 @@
         self.assertEqual((before, self.listener.overflow.open, self.listener.slots_taken()), (1, 0, 4))
         self.assertEqual((self.made.counts['taken'], self.made.counts['turned_away']), (5, 0))
 
+    def test_held_connection_is_served_when_the_budget_grows(self):
+        """Guards against one that lies unread after a hand-over, until some other connection closes."""
+        for _ in range(4):
+            asked(self.made)
+        held, wire = client(self.made)
+        self.listener.budget = 5
+        self.listener.check_slots()
+        self.assertEqual((held.over_budget, wire.producerState), (False, 'producing'))
+
     def test_longest_idle_connection_is_evicted(self):
         wires = [asked(self.made, READY) for _ in range(2)]
         self.made.reactor.advance(0.2)
