--- /dev/null
+++ b/tests/overload/stand.py
@@ -0,0 +1,207 @@
+"""Fixture of the overload tests: a node, its platform and ordinary clients, as real processes on loopback.
+
+Memory is judged by the peak of the node's process, lateness and losses by the ordinary clients, and what was
+sent on by what the servers recorded.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from copy import deepcopy
+
+from ..helpers import SETTINGS, page
+from ..test_upgrade import free
+
+START_TIMEOUT = 20  # seconds
+ANSWER_SLACK = 0.5  # seconds after its time from which a request without an answer is lost
+ORDINARY_WAIT = 1.0  # seconds that ordinary clients wait
+ORDINARY_INTERVAL = 0.1  # seconds between two ordinary requests
+
+
+def settings():
+    """Return settings with a free, a guarded and a single-shot class, as the users' sites have them."""
+    made = deepcopy(SETTINGS)
+    for profile in made['profiles']:
+        profile.update(serviceGoalS=0.75, hardLimitS=3.0)
+    made['profiles'].append(
+        {**made['profiles'][0], 'name': 'kept', 'effect': 'guarded', 'repeatWindowS': 1.5}
+    )
+    return made
+
+
+def receive_answer(connection, until):
+    """Return the status of an answer that is complete by this time, or None."""
+    data = b''
+    while True:
+        head, separator, body = data.partition(b'\r\n\r\n')
+        if separator:
+            length = int(head.lower().partition(b'content-length: ')[2].split(b'\r\n')[0] or 0)
+            if len(body) >= length:
+                return int(head[9:12])
+        connection.settimeout(max(0.001, until - time.monotonic()))
+        try:
+            more = connection.recv(65_536)
+        except OSError:
+            return None
+        if not more:
+            return None
+        data += more
+
+
+class OrdinaryClients:
+    """Clients that send ten requests a second, each on a new connection, and record what becomes of them."""
+
+    def __init__(self, port):
+        self.port, self.answers, self.stopped = port, [], threading.Event()
+        self.threads, self.number = [], 0
+        self.sender = threading.Thread(target=self.send_all, daemon=True)
+
+    def start(self):
+        self.sender.start()
+        return self
+
+    def send_all(self):
+        while not self.stopped.wait(ORDINARY_INTERVAL):
+            self.number += 1
+            self.threads.append(threading.Thread(target=self.ask, args=(self.number,), daemon=True))
+            self.threads[-1].start()
+
+    def ask(self, number):
+        """Send one request; record its status, or None if it is lost, and how long that took."""
+        begun = time.monotonic()
+        try:
+            with socket.create_connection(('127.0.0.1', self.port), ORDINARY_WAIT + ANSWER_SLACK) as line:
+                line.sendall(
+                    b'GET /read/k%d HTTP/1.1\r\nHost: x\r\nReq-Id: ordinary-%d-%d\r\nReq-Deadline: %g\r\n'
+                    b'Connection: close\r\n\r\n' % (number % 50, os.getpid(), number, ORDINARY_WAIT)
+                )
+                status = receive_answer(line, begun + ORDINARY_WAIT + ANSWER_SLACK)
+        except OSError:
+            status = None
+        self.answers.append((status, time.monotonic() - begun))
+
+    def finish(self):
+        """Stop, and return [(status, seconds)] of all requests."""
+        self.stopped.set()
+        self.sender.join()
+        for thread in self.threads:
+            thread.join(ORDINARY_WAIT + 2 * ANSWER_SLACK)
+        return self.answers
+
+
+class Stand(unittest.TestCase):
+    """A node with four caches and the origin, and a memory limit in its page."""
+
+    memory_mb, descriptors = 64, 1024
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.started, self.requests_seen = [], []
+        self.addCleanup(self.end_processes)
+        self.begin_platform()
+        self.port = free()
+        self.node = self.begin_node()
+        self.wait_until_ready()
+
+    def begin_platform(self):
+        self.platform = self.start(
+            '-m', 'tests.overload.platform', stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+        self.told = json.loads(self.platform.stdout.readline())
+        threading.Thread(target=self.record_requests, daemon=True).start()
+
+    def record_requests(self):
+        for line in self.platform.stdout:
+            at, server, name = line.split()
+            self.requests_seen.append((float(at), server.decode(), name.decode()))
+
+    def begin_node(self):
+        path = os.path.join(self.folder.name, 'page.json')
+        with open(path, 'w', encoding='utf-8') as file:
+            file.write(
+                page(
+                    listen='127.0.0.1:%d' % self.port,
+                    discovery='127.0.0.1:%d' % self.told['agent'],
+                    settings=settings(),
+                    limits={'cores': 1.0, 'memory_mb': self.memory_mb, 'sockets': self.descriptors},
+                    known={'generation': 4, 'reset': True, 'instances': self.told['instances']},
+                )
+            )
+        self.log_path = os.path.join(self.folder.name, 'node.log')
+        log = open(self.log_path, 'wb')  # noqa: SIM115
+        self.addCleanup(log.close)
+        return self.start('-m', 'lilacdyke', 'serve', '--config', path, stderr=log)
+
+    def start(self, *command, **streams):
+        """Start a Python process that ends with the test."""
+        process = subprocess.Popen([sys.executable, *command], **streams)
+        self.started.append(process)
+        return process
+
+    def end_processes(self):
+        for process in reversed(self.started):
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+            for pipe in (process.stdin, process.stdout):
+                if pipe:
+                    pipe.close()
+
+    def wait_until_ready(self):
+        until = time.monotonic() + START_TIMEOUT
+        while time.monotonic() < until:
+            try:
+                with socket.create_connection(('127.0.0.1', self.port), 1) as line:
+                    line.sendall(b'GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n')
+                    if receive_answer(line, time.monotonic() + 1) == 200:
+                        return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        self.fail('the node is not ready')
+
+    # What is judged
+
+    def peak_memory(self):
+        """Return the peak resident set size of the node's process, in MB."""
+        with open('/proc/%d/status' % self.node.pid, encoding='ascii') as file:
+            for line in file:
+                if line.startswith('VmHWM:'):
+                    return int(line.split()[1]) / 1024
+        self.fail('the node has ended')
+
+    def log(self):
+        with open(self.log_path, encoding='utf-8') as file:
+            return file.read()
+
+    def flood(self, kind, seconds, **options):
+        """Run a flood (floods.py) to its end beside ordinary clients; return their answers."""
+        clients = OrdinaryClients(self.port).start()
+        flood = self.start(
+            '-m', 'tests.overload.floods', kind, str(self.port), str(seconds), json.dumps(options)
+        )
+        flood.wait(seconds + START_TIMEOUT)
+        time.sleep(ORDINARY_WAIT)
+        return clients.finish()
+
+    def assert_memory_kept(self):
+        self.assertIsNone(self.node.poll())
+        self.assertLess(self.peak_memory(), self.memory_mb)
+
+    def assert_answered_in_time(self, answers):
+        """Assert that no ordinary request was lost or answered later than an answer may be."""
+        late = [took for status, took in answers if status is None]
+        self.assertFalse(late, '%d of %d lost' % (len(late), len(answers)))
+
+    def drain(self):
+        """End the node and assert that it exits in order."""
+        self.node.send_signal(signal.SIGTERM)
+        self.assertEqual(self.node.wait(START_TIMEOUT), 0)
