--- a/tests/overload/floods.py
+++ b/tests/overload/floods.py
@@ -99,8 +99,9 @@
 
 
 class Crowd(Flood):
-    """Many clients that send a head and half of a body, or half of a head, and stay; who is closed comes again.
+    """Many clients that send a head and half of a body, or half of a head, and stay.
 
+    again: whether others come for those that are closed.
     rate: bytes that each reads each second; None: all at once; 0: none.
     """
 
--- a/tests/overload/platform.py
+++ b/tests/overload/platform.py
@@ -14,12 +14,14 @@
 import asyncio
 import contextlib
 import json
+import socket
 import sys
 import time
 
 CACHES = ('c0', 'c1', 'c2', 'c3')
 ORIGIN = 'o'
 SLOW_READ_PIECES = 20
+RECEIVE_BUFFER = 16_384  # bytes; a server that reads slowly is felt by the node
 
 
 class CacheServer:
@@ -30,8 +32,11 @@
 
     async def listen(self):
         """Listen on a free port and return it."""
-        server = await asyncio.start_server(self.serve, '127.0.0.1', 0, limit=32_768, backlog=1024)
-        return server.sockets[0].getsockname()[1]
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        listening.bind(('127.0.0.1', 0))
+        await asyncio.start_server(self.serve, sock=listening, limit=RECEIVE_BUFFER, backlog=1024)
+        return listening.getsockname()[1]
 
     async def serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
--- a/tests/overload/stand.py
+++ b/tests/overload/stand.py
@@ -4,6 +4,7 @@
 sent on by what the servers recorded.
 """
 
+import contextlib
 import json
 import os
 import signal
@@ -101,15 +102,23 @@
 
     memory_mb, descriptors = 64, 1024
 
-    def setUp(self):
-        self.folder = tempfile.TemporaryDirectory()
-        self.addCleanup(self.folder.cleanup)
+    @contextlib.contextmanager
+    def running(self):
+        """Run the platform and a node that is ready, and end them."""
         self.started, self.requests_seen = [], []
-        self.addCleanup(self.end_processes)
-        self.begin_platform()
-        self.port = free()
-        self.node = self.begin_node()
-        self.wait_until_ready()
+        with tempfile.TemporaryDirectory() as self.folder, open(self.log_path, 'wb') as log:
+            try:
+                self.begin_platform()
+                self.port = free()
+                self.node = self.begin_node(log)
+                self.wait_until_ready()
+                yield
+            finally:
+                self.end_processes()
+
+    @property
+    def log_path(self):
+        return os.path.join(self.folder, 'node.log')
 
     def begin_platform(self):
         self.platform = self.start(
@@ -123,8 +132,8 @@
             at, server, name = line.split()
             self.requests_seen.append((float(at), server.decode(), name.decode()))
 
-    def begin_node(self):
-        path = os.path.join(self.folder.name, 'page.json')
+    def begin_node(self, log):
+        path = os.path.join(self.folder, 'page.json')
         with open(path, 'w', encoding='utf-8') as file:
             file.write(
                 page(
@@ -135,9 +144,6 @@
                     known={'generation': 4, 'reset': True, 'instances': self.told['instances']},
                 )
             )
-        self.log_path = os.path.join(self.folder.name, 'node.log')
-        log = open(self.log_path, 'wb')  # noqa: SIM115
-        self.addCleanup(log.close)
         return self.start('-m', 'lilacdyke', 'serve', '--config', path, stderr=log)
 
     def start(self, *command, **streams):
@@ -198,8 +204,8 @@
 
     def assert_answered_in_time(self, answers):
         """Assert that no ordinary request was lost or answered later than an answer may be."""
-        late = [took for status, took in answers if status is None]
-        self.assertFalse(late, '%d of %d lost' % (len(late), len(answers)))
+        late = [took for status, took in answers if status is None or took > ORDINARY_WAIT]
+        self.assertFalse(late, '%d of %d late or lost' % (len(late), len(answers)))
 
     def drain(self):
         """End the node and assert that it exits in order."""
