Keep no objects for header fields that the node does not read

Cause: read_head kept a tuple, three integers and three byte strings for each field, some 300 bytes for 7. Now one expression checks the form of all fields, and only those that the node reads become objects.

--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -11,7 +11,9 @@
 MAX_STREAMED_BODY = 32 << 20
 REQUEST = re.compile(rb'([A-Za-z]+) ([!-~]+) HTTP/1\.([01])\r\n')
 ANSWER = re.compile(rb'HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n\0]*)?\r\n')
-FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\0]*)\r\n")
+FIELD_FORM = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n"
+FIELD = re.compile(FIELD_FORM)
+FIELDS = re.compile(rb'(?:' + FIELD_FORM + rb')*+')
 SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n\0]*)?\r\n')
 BODYLESS_STATUS = re.compile(rb'1|204|304')  # statuses without a body
 DIGITS = re.compile(rb'[0-9]{1,12}\Z')
@@ -33,6 +35,9 @@
 SINGLE_VALUED = frozenset(
     (b'host', b'req-id', b'req-deadline', b'req-owner', b'idempotency-key', b'srv-declined')
 )
+# Header fields that are read here; of all others only the form is checked.
+READ_FIELDS = HOP_BY_HOP | SINGLE_VALUED | {b'srv-cache'}
+READ_FIELD = re.compile(rb'(?im)^(' + rb'|'.join(sorted(READ_FIELDS)) + rb'):[ \t]*([^\r\n\0]*?)[ \t]*\r\n')
 BODY_HEADER = re.compile(rb'(?i)\n(?:content-length|transfer-encoding)[ \t]*:')  # announces a body
 ORIGIN_PREFIX = re.compile(rb'(?i:https?)://[^/?#]*')
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
@@ -63,17 +68,30 @@
 
 
 class Message:
-    """Request or answer: the parts of its first line, its header lines as spans of the head, and its
-    body.
+    """Request or answer: the parts of its first line, the header fields that are read here, and its body.
+
+    Of other fields only the head's bytes are kept, so that a message takes little more memory than its bytes.
     """
 
-    __slots__ = ('head', 'target_end', 'parts', 'lines', 'fields', 'body', 'length', 'source')
+    __slots__ = (
+        'head',
+        'target_end',
+        'fields_begin',
+        'parts',
+        'fields',
+        'hop_by_hop',
+        'body',
+        'length',
+        'source',
+    )
 
     def __init__(self, head, first):
         self.head = head
         self.parts = first.groups()
         self.target_end = first.end(2)  # offset of the end of the request target, or of the status code
-        self.lines, self.fields = [], {}
+        self.fields_begin = first.end()
+        self.fields = {}
+        self.hop_by_hop = []  # spans in the head of the lines that apply to this connection only
         self.body = b''
         self.length = 0  # of the body; None: unknown
         self.source = None  # what a streamed body is read from; None: the body is buffered
@@ -85,7 +103,7 @@
     def tokens(self, name):
         """Return the comma-separated tokens of a header field in lower case."""
         value = self.fields.get(name)
-        return {word.strip().lower() for word in value.split(b',')} - {b''} if value else ()
+        return {word.strip().lower() for word in value.split(b',')} - {b''} if value else frozenset()
 
     @property
     def path(self):
@@ -102,19 +120,36 @@
         minor = self.parts[2] if len(self.parts) == 3 else self.parts[0]
         return b'close' not in words and (minor == b'1' or b'keep-alive' in words)
 
+    @property
+    def size(self):
+        """Bytes that it holds."""
+        return len(self.head) + len(self.body)
+
     def forwarded_lines(self):
         """Return the header lines to forward to the next hop, as the fewest possible slices of the
         head.
         """
-        listed, runs = self.tokens(b'connection'), []
-        for name, begin, end in self.lines:
-            if name in HOP_BY_HOP or name in listed:
-                continue
-            if runs and runs[-1][1] == begin:
-                runs[-1][1] = end
-            else:
-                runs.append([begin, end])
-        return [self.head[begin:end] for begin, end in runs]
+        slices, at = [], self.fields_begin
+        for begin, end in sorted(self.hop_by_hop + self.listed_lines()):
+            if begin > at:
+                slices.append(self.head[at:begin])
+            at = max(at, end)
+        end = len(self.head) - len(b'\r\n')
+        if at < end:
+            slices.append(self.head[at:end])
+        return slices
+
+    def listed_lines(self):
+        """Return the spans of the lines whose fields the Connection field lists."""
+        listed = self.tokens(b'connection')
+        if not listed - {b'close', b'keep-alive'}:
+            return []
+        spans = (line.span() for line in FIELD.finditer(self.head, self.fields_begin))
+        return [(begin, end) for begin, end in spans if self.field_name(begin) in listed]
+
+    def field_name(self, begin):
+        """Return the name of the header field whose line begins here, in lower case."""
+        return self.head[begin : self.head.index(b':', begin)].lower()
 
 
 def read_head(buffer, end, first):
@@ -123,24 +158,26 @@
     if not begun:
         raise BadMessage(400, 'first line out of form')
     message = Message(bytes(memoryview(buffer)[:end]), begun)
-    head, at, lines, fields = message.head, begun.end(), message.lines, message.fields
-    while at < end - 2:
-        line = FIELD.match(head, at)
-        if not line:
-            raise BadMessage(400, 'header line out of form')
-        name, value = line.groups()
-        name, value = name.lower(), value.strip(b' \t')
-        lines.append((name, at, line.end()))
-        at = line.end()
-        if name not in fields:
-            fields[name] = value
-        elif name not in SINGLE_VALUED:
-            fields[name] += b', ' + value
-        elif fields[name] != value:
-            raise BadMessage(400, 'header field twice')
+    if FIELDS.match(message.head, begun.end()).end() != end - len(b'\r\n'):
+        raise BadMessage(400, 'header line out of form')
+    for line in READ_FIELD.finditer(message.head, begun.end()):
+        add_field(message, line)
     return message
 
 
+def add_field(message, line):
+    """Add a header field that is read here to a message."""
+    name, value, fields = line[1].lower(), line[2], message.fields
+    if name in HOP_BY_HOP:
+        message.hop_by_hop.append(line.span())
+    if name not in fields:
+        fields[name] = value
+    elif name not in SINGLE_VALUED:
+        fields[name] += b', ' + value
+    elif fields[name] != value:
+        raise BadMessage(400, 'header field twice')
+
+
 def is_single_read(data):
     """Return whether the bytes look like exactly one GET request without a body."""
     return (
@@ -222,6 +259,12 @@
         self.scanned, self.message, self.remaining, self.chunks = 0, None, 0, None
         self.until_close = False  # whether the body extends to the end of the connection
 
+    def discard_input(self):
+        """Discard the input held; the current message keeps its head."""
+        self.buffer = bytearray()
+        if self.message:
+            self.message.body = b''
+
     @property
     def has_input(self):
         """Whether part of a message has been received."""
