One memory budget over all connections; one request of a connection a turn

Three causes in net/client.py: each answer resumed reading, so a turn read up to 64 KiB and took one request; answers that a client did not read piled up in its transport; and advance() took all that was held, in one turn, once the client had left (each request was given up at once and the next one taken), or where the node answers itself. Now reading is resumed only as input is used up, the next request waits until the last answer has left, and one request is taken a turn, none after the connection is given up. net/memory.py is the budget: every connection charges what it holds; while all hold too much, new requests get 503 (small ones last), what arrives in part is left unread, bodies are streamed in smaller pieces and the largest holders without progress are closed.

--- a/lilacdyke/net/bodies.py
+++ b/lilacdyke/net/bodies.py
@@ -27,7 +27,7 @@
         """
         reader = self.client.reader
         if not self.link:
-            if not reader.whole and len(self.message.body) + len(reader.buffer) > http.MAX_BODY:
+            if not reader.whole and len(self.message.body) + len(reader.buffer) > self.most_held():
                 self.pause()
             return
         data, whole, link = reader.piece(), reader.whole, self.link
@@ -40,6 +40,11 @@
         if whole and client.active:
             client.listener.node.body_received(client.active, client.received_at)
 
+    def most_held(self):
+        """Return how many bytes of the body are held until a connection carries the request."""
+        memory = self.client.listener.memory
+        return memory.piece_size if memory.exhausted else http.MAX_BODY
+
     def attach(self, link):
         """Attach the connection that carries the request; the body goes to it and to no other from here
         on.
@@ -112,7 +117,9 @@
     def __init__(self, client, answer, in_chunks, until):
         self.client, self.source = client, answer.source
         self.until = until  # limit of the request; None: none yet
-        self.flow = Flow(self.source, client.transport, in_chunks, self.progressed)
+        self.flow = Flow(
+            self.source, client.transport, in_chunks, self.progressed, client.listener.memory.piece_size
+        )
         self.source.sink = self
 
     def begin(self):
@@ -133,6 +140,7 @@
         """Forward a piece of the body."""
         self.progressed()
         self.flow.pass_on(data)
+        self.client.listener.memory.update(self.client)
 
     def finish_body(self):
         """Finish the answer after the last piece of the body."""
--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -242,6 +242,7 @@
             self.remove_idle(link)
         if self.caches.table.get(link.number) is link:
             self.count(-1)
+            self.caches.memory.release(link)
         self.caches.table.remove(link.number)
 
     def close_idle(self):
@@ -254,7 +255,7 @@
     """All connections to servers, within a budget of descriptors."""
 
     def __init__(
-        self, reactor, deadlines, clock, config, budget, broken, fault, returned, events, call_failed
+        self, reactor, deadlines, clock, config, budget, broken, fault, returned, events, call_failed, memory
     ):
         self.reactor, self.deadlines, self.clock = reactor, deadlines, clock
         self.connect_timeout, self.idle_ticks = config.connect_within, int(config.idle * IDLE_FRACTION)
@@ -265,6 +266,7 @@
         self.redials = SlotTable()  # pools with a scheduled attempt to connect
         self.idle_links = {}  # idle connections by number, longest idle first
         self.call_failed = call_failed  # called for local failures
+        self.memory = memory  # budget for what connections hold (memory.py)
         self.events = events  # log of individual connections (events.py)
         self.fleet_limits = None  # this node's share of the fleet's limits; None: no fleet
 
--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -12,10 +12,11 @@
 from .http import BadMessage, Reader
 from .logs import LOG
 from .phases import ASKED, CLOSING, FRESH, IDLE, RECEIVING, STREAMING
-from .sockets import no_delay, peer_closed, send_now, time_unread, waiting
+from .sockets import buffered_bytes, no_delay, peer_closed, send_now, time_unread, waiting
 
 MIN_BODY_RATE = 16_384  # bytes per second; each byte received extends the time for the rest
-MAX_READ_AHEAD = 2 * http.MAX_BODY  # bytes of pipelined input; then reading is paused
+MAX_READ_AHEAD = http.MAX_BODY  # bytes of pipelined input; then reading is paused
+READ_SIZE = 16_384  # bytes read in a turn of the event loop
 
 
 class ClientConnection(Protocol):
@@ -38,11 +39,16 @@
         self.reprieved = False  # whether this request was granted a reprieve (phases.py)
         self.over_budget = False  # whether it has no slot, so that its requests are refused
         self.closed_for = None  # why this side closes the connection; None: it does not
+        self.read_scheduled = False  # whether input that was received earlier is read in a later turn
+        self.flushing = False  # whether the next request waits until the client has accepted the last answer
+        self.charged = 0  # bytes charged to the memory budget
+        self.requests = self.refusals = 0  # requests read; those refused or answered with an error
 
     # Transport events
 
     def connectionMade(self):
         no_delay(self.transport)
+        self.transport.bufferSize = READ_SIZE
         self.listener.opened(self)
 
     def dataReceived(self, data):
@@ -58,9 +64,9 @@
                 return
             self.begin()
         self.reader.feed(data)
-        self.read_on()
-        if (self.active or self.download) and not self.upload and len(self.reader.buffer) > MAX_READ_AHEAD:
-            self.transport.pauseProducing()
+        if not self.read_scheduled:
+            self.read_on()
+        self.update_reading()
 
     def connectionLost(self, reason=None):
         active, self.active = self.active, None
@@ -70,8 +76,12 @@
             active and active.name,
             phase=self.phase,
             why=self.closed_for or 'other side',
+            requests=self.requests,
+            refusals=self.refusals,
+            held=self.charged,
         )
         self.listener.closed(self)
+        self.reader.discard_input()  # transport and protocol refer to each other and are freed much later
         if download:
             download.source.drop()
         if active:
@@ -99,6 +109,49 @@
         elif self.discarded > MAX_READ_AHEAD:
             self.transport.pauseProducing()
 
+    # Reading
+
+    @property
+    def busy(self):
+        """Whether the next request has to wait."""
+        return bool(self.active or self.download or self.flushing or self.read_scheduled)
+
+    def update_reading(self):
+        """Pause reading while more than the bound is held, or all connections together hold too much.
+
+        Guards against a client that sends faster than it is answered, and against many that stop half way.
+        """
+        memory = self.listener.memory
+        memory.update(self)
+        if self.upload or self.phase in (CLOSING, None):
+            return  # bodies.py and discard() decide
+        if self.busy and len(self.reader.buffer) > MAX_READ_AHEAD:
+            self.transport.pauseProducing()
+        elif not self.busy and memory.must_wait(self):
+            self.transport.pauseProducing()
+            memory.pause(self)
+
+    def resume_reading(self):
+        """Resume reading, unless the input held is still to be processed, or there is no memory for more."""
+        if self.upload or self in self.listener.memory.paused:
+            return
+        if len(self.reader.buffer) <= MAX_READ_AHEAD:
+            self.transport.resumeProducing()
+
+    def memory_available(self):
+        """Resume reading that was paused for want of memory."""
+        if self.phase is not None:
+            self.resume_reading()
+
+    def held_bytes(self):
+        """Return the bytes that are held for this connection."""
+        return sum(self.holdings())
+
+    def holdings(self):
+        """Return the bytes held as (input, messages, output)."""
+        message = self.active.message if self.active else self.reader.message
+        return len(self.reader.buffer), message.size if message else 0, buffered_bytes(self.transport)
+
     # Requests
 
     def begin(self):
@@ -119,24 +172,25 @@
             self.refuse(err.status, str(err))
 
     def advance(self):
-        """Process complete requests and the head of a large one.
+        """Process the next complete request, or the head of a large one.
 
-        Raise BadMessage on malformed input.
+        One at a time: what follows is read in a later turn. Raise BadMessage on malformed input.
         """
-        while not self.active and not self.download and self.phase not in (CLOSING, None):
-            message = self.reader.take()
-            if message is None:
-                self.hint()
-                if not self.reader.large:
-                    self.wait_for_more()
-                    return
-                message = self.reader.message
-                self.upload = message.source = Upload(self, message)
-            self.keep_alive = message.keep_alive
-            self.handle(message)
-            if self.upload:
-                self.begin_upload()
+        if self.busy or self.closed_for or self.phase in (CLOSING, None):
+            return
+        message = self.reader.take()
+        if message is None:
+            self.hint()
+            if not self.reader.large:
+                self.wait_for_more()
                 return
+            message = self.reader.message
+            self.upload = message.source = Upload(self, message)
+        self.requests += 1
+        self.keep_alive = message.keep_alive
+        self.handle(message)
+        if self.upload:
+            self.begin_upload()
 
     def wait_for_more(self):
         """Set the phase while no complete request has been received."""
@@ -180,6 +234,7 @@
 
     def refuse(self, status, text):
         """Answer with an error and close: what follows a malformed request cannot be read."""
+        self.refusals += 1
         self.keep_alive, self.closed_for = False, '%d: %s' % (status, text)
         self.reply(http.answer(status, False, text + '\n'))
 
@@ -211,15 +266,34 @@
             self.upload, self.discards_body, self.keep_alive = None, True, False
         if not self.keep_alive:
             self.close_after_reply()
-        elif self.reader.has_input:
+        elif waiting(self.transport):
+            self.flushing = True
+            self.listener.put(self, STREAMING)
+            self.transport.registerProducer(self, False)
+        else:
+            self.continue_reading()
+        self.listener.memory.update(self)
+
+    def resumeProducing(self):
+        """Called when the transport is empty: continue once the last answer has left."""
+        if not waiting(self.transport):
+            self.flushing = False
+            self.transport.unregisterProducer()
+            self.continue_reading()
+
+    def stopProducing(self):
+        """Called when the connection ends; handled in connectionLost."""
+
+    def continue_reading(self):
+        """Continue with what follows the last answer, in a later turn: many requests may be pipelined."""
+        if self.reader.has_input:
             self.received_at = self.listener.clock()
             self.begin()
-            self.listener.schedule_read(
-                self
-            )  # in a later reactor iteration: many small requests may be pipelined
+            self.read_scheduled = True
+            self.listener.schedule_read(self)
         else:
             self.listener.put(self, IDLE)
-        self.transport.resumeProducing()
+        self.resume_reading()
 
     # Closing
 
@@ -241,6 +315,8 @@
         """
         self.closed_for = self.closed_for or 'closed after answer'
         self.listener.put(self, CLOSING)
+        self.reader.discard_input()  # what follows the last answer is not read
+        self.transport.resumeProducing()
         self.transport.loseWriteConnection()
 
     def close_unused(self):
@@ -253,6 +329,16 @@
         self.listener.idle_closed_at = self.listener.clock()
         self.transport.loseConnection()
 
+    def give_up_memory(self):
+        """End an incomplete request or an answer that is not read, for want of memory."""
+        self.listener.node.count('ended_for_memory')
+        if self.phase == RECEIVING:
+            self.cancel_request()
+            self.refuse(503, 'no memory for the rest of this request')
+        else:
+            self.closed_for = 'no memory for an answer that is not read'
+            self.transport.abortConnection()
+
     def finish_close(self):
         """Close once the transport is empty; the system still sends what it has buffered.
 
--- a/lilacdyke/net/flow.py
+++ b/lilacdyke/net/flow.py
@@ -5,7 +5,9 @@
 as if it were complete.
 """
 
-PIECE_SIZE = 32_768  # read size, and bytes buffered in a transport before its source is paused
+from .memory import LARGE_PIECE
+
+PIECE_SIZE = LARGE_PIECE  # bytes buffered in a transport before its source is paused
 STALL_TIMEOUT = 20_000  # ticks without data after which a source counts as stalled
 
 
@@ -14,11 +16,11 @@
 
     __slots__ = ('source', 'transport', 'chunked', 'progressed', 'paused', 'finished')
 
-    def __init__(self, source, transport, chunked, progressed):
+    def __init__(self, source, transport, chunked, progressed, piece_size=PIECE_SIZE):
         self.source, self.transport, self.chunked = source, transport, chunked
         self.progressed = progressed  # called when the sink accepts data again
         self.paused = self.finished = False
-        transport.bufferSize = PIECE_SIZE
+        transport.bufferSize = piece_size
         transport.registerProducer(self, True)
 
     def framed(self, data):
--- a/lilacdyke/net/links.py
+++ b/lilacdyke/net/links.py
@@ -87,6 +87,10 @@
         self.link = None
         self.done.callback((how, answer))
 
+    def release(self):
+        """Drop the request's bytes and the reference to its owner, once the hop has ended."""
+        self.message = self.on_partial = None
+
 
 class Link(Outgoing):
     """Connection to a cache server, which carries one hop at a time."""
@@ -104,9 +108,25 @@
         self.buffered_at_send = 0  # bytes of the hop buffered when nothing was sent yet; 0: some were sent
         self.closed_for = None  # why this side closed it; None: it did not close it
         self.first_piece, self.last_piece = None, 0  # times of the pieces of a buffered answer
+        self.charged = 0  # bytes charged to the memory budget
 
     def connectionMade(self):
         no_delay(self.transport)
+        self.transport.bufferSize = PIECE_SIZE
+
+    def held_bytes(self):
+        """Return the bytes that are held for this connection."""
+        return sum(self.holdings())
+
+    def holdings(self):
+        """Return the bytes held as (input, messages, output)."""
+        message = self.reader.message
+        return len(self.reader.buffer), message.size if message else 0, buffered_bytes(self.transport)
+
+    def update_memory(self):
+        """Charge the memory budget, unless this connection has ended."""
+        if self.pool.caches.table.get(self.number) is self:
+            self.pool.caches.memory.update(self)
 
     def carry(self, exchange):
         """Send a hop.
@@ -176,6 +196,7 @@
             else:
                 self.finish('spoilt')
             self.close('answer out of form')
+        self.update_memory()
 
     def read(self):
         """Handle a complete answer, or the beginning of a large one."""
@@ -184,7 +205,7 @@
             answer = self.reader.take()
         if answer:
             self.answered(answer)
-        elif self.reader.large:
+        elif self.reader.large or self.must_stream():
             self.begin(self.reader.message)
         elif self.reader.message:
             self.last_piece = self.pool.caches.clock()
@@ -193,6 +214,16 @@
             if self.has_partial_answer and self.exchange.on_partial:
                 self.exchange.on_partial()
 
+    def must_stream(self):
+        """Return whether an answer in part has to be streamed for want of memory, though it is not large."""
+        message = self.reader.message
+        return (
+            message is not None
+            and self.all_sent
+            and ending(message) == 'committed'
+            and self.pool.caches.memory.must_wait(self)
+        )
+
     @property
     def has_partial_answer(self):
         """Whether a partial 200 answer of unknown length is buffered, which may still become a large
@@ -244,7 +275,7 @@
         how = ending(answer)
         if how == 'committed':
             answer.source = self
-            self.transport.bufferSize = PIECE_SIZE
+            self.transport.bufferSize = self.pool.caches.memory.piece_size
         self.finish(how, answer)
         if not self.sink:
             self.close('streamed answer not wanted')
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -29,8 +29,10 @@
 
     noisy = False
 
-    def __init__(self, node, deadlines, clock, terms, budget, events):
+    def __init__(self, node, deadlines, clock, terms, budget, events, memory):
         self.node, self.deadlines, self.clock = node, deadlines, clock
+        self.memory = memory  # budget for what connections hold (memory.py)
+        memory.resume = self.schedule_resume
         self.terms, self.table, self.budget = terms, SlotTable(), budget
         self.events = events  # log of individual connections (events.py)
         self.longest_limit = max(profile.hard_limit for profile in terms.profiles)
@@ -104,6 +106,8 @@
     def evict_overdue(self, _=0):
         """Close overdue connections periodically."""
         self.phases.make_room(self.budget, NORMAL)
+        if self.memory.overdrawn:
+            self.phases.free_memory(self.memory)
         self.deadlines.at(self.clock() + LOOK, self.evict_overdue, 0)
 
     def evict_while_full(self, _=0):
@@ -198,6 +202,7 @@
 
     def closed(self, client):
         """Unregister a connection that has ended."""
+        self.memory.release(client)
         self.phases.remove(client)
         self.table.remove(client.number)
         self.overflow.forget(client)
@@ -218,7 +223,19 @@
         """Continue with input received behind the last answer."""
         client = self.table.get(number_)
         if client:
+            client.read_scheduled = False
             client.read_on()
+            client.update_reading()
+            client.resume_reading()
+
+    def schedule_resume(self):
+        """Schedule resuming the connections whose reading was paused for want of memory."""
+        self.deadlines.at(self.clock(), self.resume_paused, 0)
+
+    def resume_paused(self, _):
+        """Resume reading where it was paused for want of memory."""
+        for holder in self.memory.take_paused():
+            holder.memory_available()
 
     def download_due(self, number_):
         """Deadline of a large answer."""
@@ -297,9 +314,19 @@
         if not self.overflow.has_slot(client):
             self.overflow.refuse(client)
             return
+        if not self.memory.admits(client):
+            self.refuse_for_memory(client)
+            return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
         self.node.take(client, message, row, key, wait, client.received_at)
 
+    def refuse_for_memory(self, client):
+        """Refuse a request at once that there is no memory for. It has not been sent to any server."""
+        self.node.count('refused_memory')
+        client.refusals += 1
+        self.events.say('request refused', why='no memory')
+        client.reply(self.node.refusal(self.stay(client), self.node.router.retry_delay))
+
     def stay(self, client):
         """Return whether the connection is kept open after this answer; it is closed when slots are
         scarce.
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -21,6 +21,7 @@
 from .listener import Listener
 from .local_errors import errno_name
 from .logs import LOG, log_event, log_warning
+from .memory import MemoryBudget
 from .partial_answers import PartialAnswers
 from .shutdown import ARRIVAL_GRACE, SETTLED_IDLE, Shutdown
 from .start_times import StartTimes
@@ -87,7 +88,10 @@
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.events = EventLog(self.clock, lines_per_second)
         budget = self.descriptor_share(self.descriptors() - RESERVED_DESCRIPTORS)
-        self.listener = Listener(self, self.deadlines, self.clock, config.terms, budget, self.events)
+        self.memory = MemoryBudget(self.usable_memory(), budget)
+        self.listener = Listener(
+            self, self.deadlines, self.clock, config.terms, self.memory.connections, self.events, self.memory
+        )
         self.caches = Caches(
             reactor,
             self.deadlines,
@@ -99,6 +103,7 @@
             self.returned,
             self.events,
             self.call_failed,
+            self.memory,
         )
         self.discovery = Discovery(reactor, self.deadlines, self.clock, config, self.uniform, self)
         self.partial_answers = PartialAnswers(self)
@@ -119,6 +124,13 @@
         """Return how many file descriptors this process may use."""
         return min(self.config.sockets, self.system.descriptors() or self.config.sockets)
 
+    def usable_memory(self, processes=1):
+        """Return how many bytes this process may use beyond those that it has used so far.
+
+        processes: of this node that run now; each uses about the same.
+        """
+        return self.config.memory - processes * self.system.memory_kb() * 1024
+
     # --- lifecycle --------------------------------------------------------------------------------------
 
     def start(self, folder=None):
@@ -574,6 +586,7 @@
         """Handle the end of an attempt, by its outcome or by a cut."""
         attempt, (how, answer) = self.attempts.get(number), ending
         self.attempts.remove(number)
+        attempt.exchange.release()
         active, hop = attempt.active, attempt.hop
         self.events.say('attempt ended', active.name, server=hop.server.name, how=how, attempt=hop.index)
         active.attempts.remove(attempt)
--- a/lilacdyke/net/phases.py
+++ b/lilacdyke/net/phases.py
@@ -28,6 +28,7 @@
 NORMAL, BUSY, FULL = range(3)  # index of the limit in force
 # Traffic moves `since` in these phases, so they are not ordered by it.
 TRAFFIC_TIMED = (RECEIVING, STREAMING)
+MEMORY_STALL = 5_000  # ticks without progress after which a connection is closed for want of memory
 LOOK = 1_000  # ticks between checks for overdue connections
 CHECK_INTERVAL_FULL = LOOK // 10  # the same while no connection is accepted
 MAX_BODY_PAUSE = PHASE_LIMITS[RECEIVING][NORMAL]  # ticks between two pieces of a request
@@ -78,6 +79,20 @@
                     break
                 freed += self.overdue(client, now)
 
+    def free_memory(self, memory):
+        """End requests and answers without progress, the largest first, until memory is free again.
+
+        Guards against clients that stop half way and hold what ordinary requests need.
+        """
+        latest = self.clock() - MEMORY_STALL
+        stalled = [
+            client for phase in TRAFFIC_TIMED for client in self.listed(phase) if client.since <= latest
+        ]
+        for client in sorted(stalled, key=lambda client: client.charged, reverse=True):
+            if not memory.exhausted:
+                return
+            client.give_up_memory()
+
     def close_idle(self, fresh_since, resting_since):
         """Close connections without a request whose phase began at or before these times."""
         for phase, latest in ((FRESH, fresh_since), (IDLE, resting_since)):
