--- a/tests/overload/stand.py
+++ b/tests/overload/stand.py
@@ -104,9 +104,9 @@
     lines_per_second = 0  # limit of the node's log on single requests
 
     @contextlib.contextmanager
-    def running(self):
-        """Run the platform and a node that is ready, and end them."""
-        self.started, self.requests_seen = [], []
+    def running(self, operator=False):
+        """Run the platform and a node that is ready, and end them. operator: whether it can hand over."""
+        self.started, self.requests_seen, self.operator = [], [], operator
         with tempfile.TemporaryDirectory() as self.folder, open(self.log_path, 'wb') as log:
             try:
                 self.begin_platform()
@@ -134,7 +134,9 @@
             self.requests_seen.append((float(at), server.decode(), name.decode()))
 
     def begin_node(self, log):
-        path = os.path.join(self.folder, 'page.json')
+        """Start a process of the node."""
+        path = os.path.join(self.folder, 'page-%d.json' % len(self.started))
+        operator = {'operator': '127.0.0.1:%d' % free()} if self.operator else {}
         with open(path, 'w', encoding='utf-8') as file:
             file.write(
                 page(
@@ -143,13 +145,21 @@
                     settings=settings(),
                     limits={'cores': 1.0, 'memory_mb': self.memory_mb, 'sockets': self.descriptors},
                     known={'generation': 4, 'reset': True, 'instances': self.told['instances']},
+                    **operator,
                 )
             )
         return self.start(
             *('-m', 'lilacdyke', 'serve', '--config', path, '--log-requests', str(self.lines_per_second)),
             stderr=log,
+            env={**os.environ, 'TMPDIR': self.folder},
         )
 
+    def begin_successor(self):
+        """Start a second process of the node and wait until it serves."""
+        with open(self.log_path, 'ab') as log:
+            self.successor = self.begin_node(log)
+        self.wait_until(lambda: 'event="successor serving"' in self.log())
+
     def start(self, *command, **streams):
         """Start a Python process that ends with the test."""
         process = subprocess.Popen([sys.executable, *command], **streams)
@@ -165,18 +175,28 @@
                 if pipe:
                     pipe.close()
 
-    def wait_until_ready(self):
+    def wait_until(self, condition):
+        """Wait until a condition holds."""
         until = time.monotonic() + START_TIMEOUT
-        while time.monotonic() < until:
-            try:
-                with socket.create_connection(('127.0.0.1', self.port), 1) as line:
-                    line.sendall(b'GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n')
-                    if receive_answer(line, time.monotonic() + 1) == 200:
-                        return
-            except OSError:
-                pass
-            time.sleep(0.05)
-        self.fail('the node is not ready')
+        while not condition():
+            self.assertLess(time.monotonic(), until, self.log())
+            time.sleep(0.01)
+
+    def wait_until_ready(self, line=None):
+        """Wait until the node says that it is ready, on this connection or on new ones."""
+        self.wait_until(lambda: self.is_ready(line))
+
+    def is_ready(self, line=None):
+        try:
+            with (
+                contextlib.nullcontext(line)
+                if line
+                else socket.create_connection(('127.0.0.1', self.port)) as to
+            ):
+                to.sendall(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
+                return receive_answer(to, time.monotonic() + 1) == 200
+        except OSError:
+            return False
 
     # What is judged
 
--- a/tests/overload/test_slow_servers.py
+++ b/tests/overload/test_slow_servers.py
@@ -1,10 +1,10 @@
-"""Servers that write a long answer slowly."""
+"""Servers that write a long answer slowly, or read a large request slowly."""
 
 import socket
 import time
 from threading import Thread
 
-from .stand import Stand
+from .stand import ANSWER_SLACK, Stand, receive_answer
 
 WAIT = 0.75  # seconds that clients wait
 LONG_ANSWERS = ((3, 54_000), (4, 20_000))  # pieces, bytes of each
@@ -60,3 +60,13 @@
                 _, count, size, _ = path.split('-')
                 self.assertEqual((status, length, was_reset), (b'200', int(count) * int(size), False), log)
                 self.assertLess(first, WAIT + 0.05)
+
+    # Guards against a final answer seconds after its time, as the time of a large request that the client
+    # has written whole starts anew whenever its server accepts some more of it.
+    def test_large_request_read_slowly_is_answered_in_time(self):
+        for size in (1_000_000, 4_000_000, 6_000_000):
+            with self.subTest(size=size), self.running():
+                line, written = self.ask('/once/slow-4', 'PUT', b'x' * size)
+                status = receive_answer(line, written + 8)
+                self.assertIsNotNone(status)
+                self.assertLess(time.monotonic() - written, WAIT + ANSWER_SLACK)
