Count a large request's time from when its client may have written it whole

Cause: the time ran from the latest pause of reading; with each piece that the server accepted a new pause began, though the client had long written all of it into the buffers of both systems.

--- a/lilacdyke/net/bodies.py
+++ b/lilacdyke/net/bodies.py
@@ -10,6 +10,9 @@
 from .phases import ASKED, LOOK, MAX_BODY_PAUSE, STREAMING
 from .sockets import flush, nothing_unread, time_unread
 
+# Bytes that the buffers of both systems may hold of a body: tcp_wmem and tcp_rmem of Linux (tcp(7)).
+MAX_IN_TRANSIT = 10 << 20
+
 
 class Upload:
     """Large request: source of its body for the connection that carries it."""
@@ -18,7 +21,9 @@
         self.client, self.message = client, message
         self.link = None  # connection to the server that receives the body; None: not assigned yet
         self.reading_paused = False  # whether the body is left unread
-        self.paused_since = 0  # when reading was last paused
+        self.paused_since = self.resumed_at = 0  # when reading was last paused, and resumed
+        # When the client may have written its last byte; grows while this side waits for the client.
+        self.written_at = None
         self.deadline_set = False  # whether a check of the paused body is scheduled
 
     def body_received(self):
@@ -38,7 +43,7 @@
             client.listener.put(client, ASKED)
         link.body(data, whole)
         if whole and client.active:
-            client.listener.node.body_received(client.active, client.received_at)
+            client.listener.node.body_received(client.active, self.last_byte_at())
 
     def most_held(self):
         """Return how many bytes of the body are held until a connection carries the request."""
@@ -71,13 +76,27 @@
         The last byte of the body may already lie unread, so the request's time runs.
         """
         self.client.transport.pauseProducing()
-        self.reading_paused, self.paused_since = True, self.client.listener.clock()
+        if not self.reading_paused:
+            self.reading_paused, self.paused_since = True, self.client.listener.clock()
+            self.record_pause(self.paused_since)
         if not self.deadline_set:
             self.set_deadline(self.body_timed_out())
 
+    def record_pause(self, now):
+        """Record since when the client may have written its last byte.
+
+        Guards against a request's time that starts anew with each pause, while all of its body has long been
+        written and lies in the buffers of both systems.
+        """
+        if self.written_at is not None:
+            self.written_at += now - self.resumed_at
+        elif self.client.reader.remaining <= MAX_IN_TRANSIT:
+            self.written_at = now
+
     def resume(self):
         """Resume reading from the client."""
-        self.reading_paused = False
+        if self.reading_paused:
+            self.reading_paused, self.resumed_at = False, self.client.listener.clock()
         self.client.transport.resumeProducing()
 
     def set_deadline(self, when):
@@ -89,9 +108,17 @@
         """Return when the request's limit ends, assuming that the last bytes received complete it."""
         client = self.client
         wait = client.active.wait if client.active else 0
+        written_at = self.paused_since if self.written_at is None else self.written_at
         # Bytes that arrive while reading is paused were sent earlier and delayed by a full receive window.
-        came = min(self.paused_since, client.listener.clock() - time_unread(client.transport))
-        return came + wait
+        return min(written_at, client.listener.clock() - time_unread(client.transport)) + wait
+
+    def last_byte_at(self):
+        """Return when the client has written the last byte, which has been read now."""
+        received_at = self.client.received_at
+        if self.written_at is None:
+            return received_at
+        unpaused = 0 if self.reading_paused else self.client.listener.clock() - self.resumed_at
+        return min(received_at, self.written_at + unpaused)
 
     def due(self):
         """End the request if its limit has passed while reading was paused.
