An id whose request may have run does not run again once its client has left

Cause: an id was known only while its request was open, and in one process. The two processes of an upgrade tell each other: the predecessor's first line has the digests, a successor that reads them says so, and each sends further ones before the attempt that they belong to. Peers of older versions see no new line.

--- a/lilacdyke/net/handover.py
+++ b/lilacdyke/net/handover.py
@@ -8,7 +8,8 @@
 descriptor. Then either side sends `{"call": [verb, name], "n": N}` and answers `{"done": N}`; the successor
 sends `{"serves": true}`, and `{"serves": false}` once it drains; the predecessor `{"holds": descriptors}`. If
 the predecessor's first line has `"beats": true`, the successor sends heartbeats, `{"beat": true}`, as long as
-it listens.
+it listens. If that line has `"ran"`, digests of ids that must not run again, the successor sends
+`{"reads_ids": true}`, and from then on each tells the other of further ones: `{"ran": [digest, ...]}`.
 """
 
 import json
@@ -22,6 +23,8 @@
 
 from ..values import SECOND, InvalidValueError
 from .logs import LOG, log_event, log_warning
+from .recent_ids import valid_digests
+from .sockets import buffered_bytes
 from .succession import SERVING, UNRESPONSIVE, Succession
 
 VERSION = 1
@@ -32,6 +35,7 @@
 REPORT_INTERVAL = 1_000  # between two reports of held descriptors
 HEARTBEAT_INTERVAL, HEARTBEAT_TIMEOUT = 250, 1_000
 MAX_LINE = 4 << 20  # bytes
+MAX_BACKLOG = 1 << 18  # bytes that a peer has not read, from which it is told of no further ids
 MAX_CANDIDATES = 8  # sockets to try; a node that was killed repeatedly leaves stale ones
 MAX_PATH = 100  # bytes; below the limit of a Unix socket's address
 STAT_START_INDEX = 19  # of the start time among the fields of /proc/PID/stat that follow the name
@@ -60,6 +64,7 @@
         self.handover, self.peer_is_predecessor = handover, peer_is_predecessor
         self.buffer, self.fd, self.last_call, self.closed = bytearray(), None, 0, False
         self.pending = {}  # callbacks of calls without a reply yet, by call number
+        self.shares_ids = False  # whether the peer reads digests of ids
 
     def fileDescriptorReceived(self, descriptor):
         if self.fd is not None:
@@ -91,35 +96,57 @@
         """Handle one line. Raise InvalidValueError if it is not known, as from a peer of another version."""
         if not isinstance(line, dict):
             raise InvalidValueError('no object')
-        if 'v' in line and self.peer_is_predecessor:
-            self.handover.state_received(self, line)
-        elif 'serves' in line and not self.peer_is_predecessor:
-            if line['serves']:
-                self.handover.successor_serving()
-            else:
-                self.handover.successor_leaving()
-        elif 'beat' in line and not self.peer_is_predecessor:
-            self.handover.heartbeat_received()
-        elif 'holds' in line and self.peer_is_predecessor and isinstance(line['holds'], int):
-            self.handover.descriptors_reported(line['holds'])
-        elif (
-            'call' in line
-            and isinstance(line['call'], list)
-            and line['call'][:1]
-            and line['call'][0] in CALLS
-        ):
-            self.handover.node.perform(*line['call'])
-            self.send(done=line.get('n'))
-        elif 'done' in line:
-            self.pending.pop(line['done'], bool)()
-        else:
+        handlers = {**(FROM_PREDECESSOR if self.peer_is_predecessor else FROM_SUCCESSOR), **FROM_EITHER}
+        key = next((key for key in handlers if key in line), None)
+        if key is None:
             raise InvalidValueError('unknown line')
+        handlers[key](self, line)
+
+    def state_received(self, line):
+        self.handover.state_received(self, line)
+
+    def serves_received(self, line):
+        if line['serves']:
+            self.handover.successor_serving()
+        else:
+            self.handover.successor_leaving()
+
+    def heartbeat_received(self, _):
+        self.handover.heartbeat_received()
+
+    def reader_of_ids_received(self, _):
+        """The successor reads digests of ids."""
+        self.shares_ids = True
+        self.send(ran=self.handover.node.recent_ids.export())
+
+    def descriptors_received(self, line):
+        if not isinstance(line['holds'], int):
+            raise InvalidValueError('holds: no number')
+        self.handover.descriptors_reported(line['holds'])
+
+    def ids_received(self, line):
+        self.handover.node.recent_ids.add(valid_digests(line['ran']))
+
+    def call_received(self, line):
+        call = line['call']
+        if not isinstance(call, list) or not call or call[0] not in CALLS:
+            raise InvalidValueError('unknown call')
+        self.handover.node.perform(*call)
+        self.send(done=line.get('n'))
+
+    def reply_received(self, line):
+        self.pending.pop(line['done'], bool)()
 
     def send(self, **line):
         """Send a line, if the link is still up."""
         if self.transport and not self.closed:
             self.transport.write(json.dumps(line).encode() + b'\n')
 
+    def share_ids(self, digests):
+        """Tell the peer of ids that must not run again, unless it does not read what it is sent."""
+        if self.shares_ids and not self.closed and buffered_bytes(self.transport) < MAX_BACKLOG:
+            self.send(ran=digests)
+
     def call(self, verb, name, done):
         """Make a call at the other process; done() runs on its reply, on a timeout or when the link ends."""
         self.last_call += 1
@@ -150,6 +177,16 @@
         self.handover.link_lost(self)
 
 
+# Methods of Link by the key that tells a line's kind.
+FROM_PREDECESSOR = {'v': Link.state_received, 'holds': Link.descriptors_received}
+FROM_SUCCESSOR = {
+    'serves': Link.serves_received,
+    'beat': Link.heartbeat_received,
+    'reads_ids': Link.reader_of_ids_received,
+}
+FROM_EITHER = {'call': Link.call_received, 'done': Link.reply_received, 'ran': Link.ids_received}
+
+
 class PredecessorFactory(ClientFactory):
     """Connects to one candidate predecessor."""
 
@@ -250,6 +287,9 @@
         self.succession.predecessor_reported(holds if isinstance(holds, int) else 0)
         self.sends_heartbeats = state.get('beats') is True
         fd, link.fd = link.fd, None
+        if 'ran' in state:
+            link.shares_ids = True
+            link.send(reads_ids=True)
         self.finish_search(state, fd)
         os.close(fd)  # the reactor has its own duplicate
 
@@ -273,6 +313,12 @@
         except Exception as err:  # the node still serves, but cannot hand over
             log_warning('no hand-over possible', reason=err)
 
+    def share_ids(self, digests):
+        """Tell the other processes of this node of ids that must not run again."""
+        for link in (self.predecessor, self.successor):
+            if link:
+                link.share_ids(digests)
+
     def end(self):
         """This process drains: the predecessor, if there is one, has to accept clients again."""
         self.succession.end()
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -306,7 +306,7 @@
             self.node.count('malformed')
             client.refuse(400, 'Host, Req-Id, Req-Deadline or Req-Owner out of form')
             return
-        if message.field(b'req-id') in self.node.ids:
+        if self.node.is_known_id(message.field(b'req-id')):
             # Guards against executing one id twice; the first request continues.
             self.node.count('malformed')
             client.refuse(409, 'this Req-Id is open')
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -12,6 +12,7 @@
 
 from ..decode import read_config
 from ..logic import Router, Server
+from ..terms import IDEMPOTENT
 from ..values import SECOND, InvalidValueError, format_seconds
 from . import http
 from .caches import CACHE_STATUSES, Caches
@@ -23,6 +24,7 @@
 from .logs import LOG, log_event, log_warning
 from .memory import MemoryBudget
 from .partial_answers import PartialAnswers
+from .recent_ids import RecentIds, digest, valid_digests
 from .shutdown import ARRIVAL_GRACE, SETTLED_IDLE, Shutdown
 from .start_times import StartTimes
 from .system import System
@@ -85,6 +87,7 @@
         self.servers, self.entries = {}, {}  # by name: the router's objects; the latest list entries
         self.active_requests, self.attempts = SlotTable(), SlotTable()
         self.ids = set()  # Req-Ids of the active requests
+        self.recent_ids = RecentIds(self.clock)  # of those that may have run and must not run again
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.events = EventLog(self.clock, lines_per_second)
         budget = self.descriptor_share(self.descriptors() - RESERVED_DESCRIPTORS)
@@ -395,6 +398,7 @@
         return {
             'away': self.out_of_rotation,
             'hand': hand,
+            'ran': self.recent_ids.export(),
             # With these a successor converts the times above to its own clock without reading Unix time.
             'elapsed': self.elapsed(),
             'unix': self.clock() - self.starts.offset,
@@ -407,6 +411,7 @@
         """Adopt the state of a predecessor."""
         try:
             self.out_of_rotation = state['away'] is True
+            self.recent_ids.add(valid_digests(state.get('ran', [])))
             offset = self.clock_offset_from(state)
             for name, (since, back) in state['hand'].items():
                 self.router.suspensions[name] = (since + offset, back and back + offset)
@@ -416,7 +421,7 @@
             self.router.import_state(self.clock(), state['usual'], state['servers'])
             for name, server in self.router.servers_by_name.items():
                 self.starts.adopt(name, server.started)
-        except (KeyError, TypeError, ValueError, AttributeError) as err:
+        except (KeyError, TypeError, ValueError, AttributeError, InvalidValueError) as err:
             log_warning('hand-over not read', reason=repr(err))
 
     def clock_offset_from(self, state):
@@ -497,9 +502,29 @@
         self.active_requests.remove(active.number)
         self.ids.discard(active.name)
         self.release_limits(active)
+        self.forget_unused_id(active)
         client, active.client, active.message = active.client, None, None
         return client
 
+    def is_known_id(self, name):
+        """Return whether a request with this id is open, or may have run and must not run again."""
+        return name in self.ids or name in self.recent_ids
+
+    def record_effect(self, active):
+        """Record that a request which must not run twice is about to be sent, here and at the other processes
+        of this node."""
+        if active.tx.profile.effect != IDEMPOTENT:
+            recorded = [digest(active.name)]
+            self.recent_ids.add(recorded)
+            if self.handover:
+                self.handover.share_ids(recorded)
+
+    def forget_unused_id(self, active):
+        """Forget the id of a request that is over and has surely not run: it may be sent again."""
+        hops = active.tx.hops if active.tx else []
+        if not active.attempts and not self.is_open(active) and not any(hop.ran for hop in hops):
+            self.recent_ids.discard(active.name)
+
     def is_open(self, active):
         """Return whether the request is still owed an answer."""
         return self.active_requests.get(active.number) is active
@@ -614,6 +639,7 @@
             self.fleet.ended(now, hop, how, now - hop.sent)
         self.router.hop_ended(now, hop, how, now - hop.sent, final or hop.tx.done, note)
         self.release_limits(active)
+        self.forget_unused_id(active)
         self.settle()
 
     def broken(self, server, err):
@@ -726,6 +752,7 @@
             attempt=hop.index,
             why=self.send_reason(hop),
         )
+        self.record_effect(active)
         if self.fleet:
             self.router.fleet_limits.sent(now, hop.server, self.router.capacity_factor(now, hop.server) < 1)
         attempt.exchange = self.caches.send(
--- a/tests/overload/test_repeated_ids.py
+++ b/tests/overload/test_repeated_ids.py
@@ -49,8 +49,8 @@
                             (self.come_again(name, profile), self.runs(name)), (409, 1), self.log()
                         )
 
-    # Guards against the same at the other process of an upgrade: the successor, and the predecessor, which still
-    # serves the connections that it has.
+    # Guards against the same at the other process of an upgrade: the successor, and the predecessor, which
+    # still serves the connections that it has.
     def test_write_runs_once_though_its_client_comes_again_at_the_other_process(self):
         with self.running(operator=True), socket.create_connection(('127.0.0.1', self.port)) as kept_line:
             self.wait_until_ready(kept_line)
