Log what connections hold, what the busiest did, and why attempts are ended

The figures line has bytes held by purpose (held_input, held_requests, held_answers, held_output, held_most), the resident size, the most requests and refusals of one connection, the longest turn of the event loop, and why this side ended attempts (cut_REASON). 'busy client closed', 'client ended for memory' and 'request refused for memory' are warnings, so limited in rate.

--- a/lilacdyke/net/caches.py
+++ b/lilacdyke/net/caches.py
@@ -191,7 +191,7 @@
         now = self.caches.clock()
         for exchange in [exchange for exchange in self.waiting if now >= exchange.held_until]:
             if exchange in self.waiting:  # ending one hop may have ended others
-                exchange.cut('unsent')
+                exchange.cut('unsent', 'machine cannot connect')
         self.redial_at = None
         if len(self.waiting) <= self.dials:
             return
@@ -312,7 +312,7 @@
         for link in self.table:
             # Such a hop's first byte could be sent after the grace period has ended.
             if link.pool.server.state != 'ready' and link.exchange and not link.begun:
-                link.exchange.cut('unsent')
+                link.exchange.cut('unsent', 'server not ready')
 
     def send(self, server, message, until, wanted, repeat, leaves=bool):
         """Start a hop and return its Exchange.
--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -10,12 +10,13 @@
 from . import http
 from .bodies import Upload, begin_download
 from .http import BadMessage, Reader
-from .logs import LOG
+from .logs import LOG, log_warning
 from .phases import ASKED, CLOSING, FRESH, IDLE, RECEIVING, STREAMING
 from .sockets import buffered_bytes, no_delay, peer_closed, send_now, time_unread, waiting
 
 MIN_BODY_RATE = 16_384  # bytes per second; each byte received extends the time for the rest
 MAX_READ_AHEAD = http.MAX_BODY  # bytes of pipelined input; then reading is paused
+OK = b'HTTP/1.1 200 '
 READ_SIZE = 16_384  # bytes read in a turn of the event loop
 
 
@@ -80,6 +81,7 @@
             refusals=self.refusals,
             held=self.charged,
         )
+        self.listener.node.figures.connection_ended(self)
         self.listener.closed(self)
         self.reader.discard_input()  # transport and protocol refer to each other and are freed much later
         if download:
@@ -234,7 +236,6 @@
 
     def refuse(self, status, text):
         """Answer with an error and close: what follows a malformed request cannot be read."""
-        self.refusals += 1
         self.keep_alive, self.closed_for = False, '%d: %s' % (status, text)
         self.reply(http.answer(status, False, text + '\n'))
 
@@ -245,6 +246,7 @@
         """
         self.active, self.answered = None, True
         data = b''.join(pieces)
+        self.refusals += not data.startswith(OK)
         if not waiting(self.transport):
             data = data[send_now(self.transport, data) :]
         self.finish_reply(data)
@@ -332,6 +334,7 @@
     def give_up_memory(self):
         """End an incomplete request or an answer that is not read, for want of memory."""
         self.listener.node.count('ended_for_memory')
+        log_warning('client ended for memory', phase=self.phase, held=self.charged, requests=self.requests)
         if self.phase == RECEIVING:
             self.cancel_request()
             self.refuse(503, 'no memory for the rest of this request')
--- a/lilacdyke/net/links.py
+++ b/lilacdyke/net/links.py
@@ -46,6 +46,7 @@
         'on_partial',
         'held_until',
         'leaves',
+        'why',
     )
 
     def __init__(self, pool, message, until, wanted, leave_by, leaves):
@@ -55,16 +56,18 @@
         self.wanted, self.leave_by = wanted, leave_by
         self.leaves = leaves  # called when its first byte is sent
         self.link = None  # the connection that carries it
+        self.why = None  # why this side ended it; None: it did not
         self.held_until = None  # latest time to wait after a local failure to connect
         self.done = Deferred()  # fires once with (ending, answer or None)
 
-    def cut(self, how):
-        """Stop waiting for the hop, unless it has ended.
+    def cut(self, how, why):
+        """Stop waiting for the hop, unless it has ended. why: for the log.
 
         Closing its connection tells the server.
         """
         if self.done.called:
             return
+        self.why = why
         if self.link:
             self.link.give_up()
         else:
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -12,6 +12,7 @@
 from ..values import InvalidValueError, number, to_ticks_floor
 from . import http
 from .client import ClientConnection
+from .logs import log_warning
 from .overflow import Overflow
 from .phases import ASKED, BUSY, CHECK_INTERVAL_FULL, FRESH, FULL, LOOK, NORMAL, STREAMING, Phases
 from .sockets import guard
@@ -315,16 +316,16 @@
             self.overflow.refuse(client)
             return
         if not self.memory.admits(client):
-            self.refuse_for_memory(client)
+            self.refuse_for_memory(client, message)
             return
         key = parts[-1].decode('latin-1') if parts and parts[-1] else None
         self.node.take(client, message, row, key, wait, client.received_at)
 
-    def refuse_for_memory(self, client):
+    def refuse_for_memory(self, client, message):
         """Refuse a request at once that there is no memory for. It has not been sent to any server."""
         self.node.count('refused_memory')
-        client.refusals += 1
-        self.events.say('request refused', why='no memory')
+        self.events.say('request refused', message.field(b'req-id'), why='no memory')
+        log_warning('request refused for memory', held=self.memory.total, of=self.memory.shared)
         client.reply(self.node.refusal(self.stay(client), self.node.router.retry_delay))
 
     def stay(self, client):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -19,6 +19,7 @@
 from .caches import CACHE_STATUSES, Caches
 from .discovery import Discovery, read_list
 from .events import EventLog
+from .figures import Figures
 from .guard import Guard
 from .listener import Listener
 from .local_errors import errno_name
@@ -36,7 +37,6 @@
 # Times are in ticks of 0.1 ms unless the name says otherwise.
 RESERVED_DESCRIPTORS, MIN_DESCRIPTORS = 32, 4  # for all but clients and caches; for each of these at least
 FIRST_LIST_TIMEOUT = 10_000  # for discovery's first list, until which nothing is sent to servers
-FIGURES_INTERVAL = 10 * SECOND
 STEP_SECONDS = 0.1  # smallest step of the wall clock that is reported
 MILLISECOND = SECOND // 1_000
 
@@ -114,6 +114,7 @@
         self.discovery = Discovery(reactor, self.deadlines, self.clock, config, self.uniform, self)
         self.partial_answers = PartialAnswers(self)
         self.shutdown = Shutdown(self)
+        self.figures = Figures(self)
         self.operator_server = None
         self.out_of_rotation, self.away_since = False, 0  # by operators; since when
         self.handover, self.exit_code = None, 0  # links to the node's other processes, if it can hand over
@@ -208,7 +209,7 @@
             self.discovery.open()
         self.settle()
         self.deadlines.at(self.clock() + FIRST_LIST_TIMEOUT, self.first_list_timed_out, 0)
-        self.deadlines.at(self.clock() + FIGURES_INTERVAL, self.figures, 0)
+        self.figures.begin()
         self.deadlines.at(self.clock() + SECOND, self.check_wall_clock, 0)
 
     def first_list_timed_out(self, _):
@@ -484,7 +485,7 @@
                 and (attempt.exchange.message.source or not self.config.terms.may_cancel)
             ):
                 # The rest of its body will not arrive or need not be sent, so it never ran.
-                attempt.exchange.cut('unsent')
+                attempt.exchange.cut('unsent', 'client gone')
         self.settle()
 
     def wanted(self, active):
@@ -546,7 +547,7 @@
         """End an attempt of a finished request that is still waiting for a connection."""
         attempt = self.attempts.get(number)
         if attempt and attempt.exchange and not attempt.exchange.link:
-            attempt.exchange.cut('unsent')
+            attempt.exchange.cut('unsent', 'request over')
             self.settle()
 
     def reply(self, active, status, text):
@@ -562,7 +563,7 @@
         if self.partial_answers.answer_at_limit(active) or self.partial_answers.defer_limit(active):
             return
         for attempt in active.attempts[:]:
-            attempt.exchange.cut('expired')
+            attempt.exchange.cut('expired', 'limit of the request')
         self.settle()
         if self.active_requests.get(number) is active:
             LOG.error('limit passed without a decision')
@@ -587,7 +588,7 @@
         active.tx.limit = self.clock()
         self.router.set_timer(active.tx.limit, active.tx)  # looked at even if it has no attempt
         for attempt in active.attempts[:]:
-            attempt.exchange.cut('unsent')
+            attempt.exchange.cut('unsent', 'limit while the body arrived')
         self.limit_due(active.number)
 
     # --- attempts ---------------------------------------------------------------------------------------
@@ -607,7 +608,7 @@
             if extended is not None:
                 self.deadlines.at(extended, self.attempt_limit_due, number)
                 return
-        attempt.exchange.cut('expired')
+        attempt.exchange.cut('expired', 'limit of the attempt')
         self.settle()
 
     def attempt_ended(self, ending, number):
@@ -616,7 +617,12 @@
         self.attempts.remove(number)
         attempt.exchange.release()
         active, hop = attempt.active, attempt.hop
-        self.events.say('attempt ended', active.name, server=hop.server.name, how=how, attempt=hop.index)
+        why = attempt.exchange.why
+        self.events.say(
+            'attempt ended', active.name, server=hop.server.name, how=how, attempt=hop.index, why=why
+        )
+        if why:
+            self.count('cut_' + why.replace(' ', '_'))
         active.attempts.remove(attempt)
         now = self.clock()
         open_ = self.active_requests.get(active.number) is active
@@ -806,7 +812,7 @@
         """Cancel an attempt."""
         for attempt in hop.tx.ref.attempts:
             if attempt.hop is hop:
-                attempt.exchange.cut('cancelled')
+                attempt.exchange.cut('cancelled', 'request over')
                 return
 
     def do_roll_back(self, tx, after):
@@ -862,15 +868,3 @@
             self.count('clock_steps')
             log_warning('wall clock stepped', by_ms=int(by * 1_000))
         self.deadlines.at(self.clock() + SECOND, self.check_wall_clock, 0)
-
-    def figures(self, _):
-        """Log the counters since the start."""
-        log_event(
-            'figures',
-            open=len(self.active_requests),
-            clients=len(self.listener.table),
-            links=self.caches.open,
-            memory_kb=self.system.memory_kb(),
-            **self.counts,
-        )
-        self.deadlines.at(self.clock() + FIGURES_INTERVAL, self.figures, 0)
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -31,11 +31,18 @@
     accepting new ones.
     """
 
+    turn_began = None  # when the last poll returned
+    longest_turn = 0  # seconds between two polls, at most; reset by whoever reads it
+
     def doPoll(self, timeout):
+        if self.turn_began is not None:
+            self.longest_turn = max(self.longest_turn, self.seconds() - self.turn_began)
         try:
             ready = self._poller.poll(-1 if timeout is None else timeout, len(self._selectables))
         except InterruptedError:
             return
+        finally:
+            self.turn_began = self.seconds()
         for turn in self.by_priority(ready):
             for fd, event in turn:
                 selectable = self._selectables.get(fd)
