Refuse unsound and late whole requests unread while the accept queue is long; prune timers

Each unsound request on a new connection cost the same as a sound one, and all others wait in the system's queue behind them; writes that had waited too long were taken, unlike reads. Now a connection that has waited for 10 ms or more is looked at before it is let in: one whole unsound request is answered and closed there, and a whole write that is late is refused as a read is. Timers of finished transactions are dropped once they are the larger part: they kept each request until its limit.

--- a/lilacdyke/logic.py
+++ b/lilacdyke/logic.py
@@ -16,7 +16,7 @@
 """
 
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import log
 from zlib import crc32
 
@@ -28,6 +28,7 @@
 BUSY_FACTOR = 2  # a cache above this multiple of the mean in-flight hops, plus MIN_IN_FLIGHT, is skipped
 BUDGET_RATIO = 0.25  # retries and hedges, as a share of the reads taken
 ZONE_FACTOR = 1 << 30  # weight of caches in the node's own zone, for keys that stay in it
+MIN_TIMERS = 256
 HISTORY_READS = 256  # reads within which a key counts as seen
 MASK_64 = (1 << 64) - 1
 
@@ -72,6 +73,7 @@
         self.retry_delay = min(terms.max_retry_after, self.goal)  # for rejected clients; 0: none
         # ready: transactions to examine; timers: a heap; next_wake: the latest requested wake-up.
         self.ready, self.timers, self.next_wake, self.timer_count = deque(), [], None, 0
+        self.most_timers = MIN_TIMERS  # beyond it, those of finished transactions are dropped
         self.arrived, self.interval = 0, 0  # time of the latest transaction, mean time between two
         self.fetching, self.followers = {}, {}  # by key: the transaction that fetches, those that wait for it
         self.queue = deque()  # transactions that wait for capacity at the origin
@@ -206,6 +208,14 @@
         """Set a timer for a transaction, or for the server list if tx is None."""
         self.timer_count += 1
         heappush(self.timers, (when, self.timer_count, tx))
+        if len(self.timers) > self.most_timers:
+            self.prune_timers()
+
+    def prune_timers(self):
+        """Drop the timers of finished transactions, which hold these in memory until their limits."""
+        self.timers = [row for row in self.timers if row[2] is None or not row[2].done or row[2].out]
+        heapify(self.timers)
+        self.most_timers = max(MIN_TIMERS, 2 * len(self.timers))
 
     def decide(self, now):
         """Return the next decision, or None if there is none left."""
--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -185,6 +185,27 @@
     )
 
 
+def single_request(data):
+    """Return the message if the bytes are exactly one request that is whole, or None.
+
+    Raise BadMessage if they cannot be read as a request.
+    """
+    reader = Reader(REQUEST)
+    reader.feed(data)
+    message = reader.take()
+    return None if reader.has_input else message
+
+
+def is_single_request(data):
+    """Return whether the bytes are exactly one GET or PUT request that is whole."""
+    if data.startswith(b'GET '):
+        return is_single_read(data)
+    try:
+        return data.startswith(b'PUT ') and single_request(data) is not None
+    except BadMessage:
+        return False
+
+
 class Chunks:
     """Decoder for a chunked body."""
 
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -6,12 +6,14 @@
 
 import socket
 from socket import AF_INET, AF_INET6
+from typing import NamedTuple
 
 from twisted.internet.protocol import Factory
 
 from ..values import InvalidValueError, number, to_ticks_floor
 from . import http
 from .client import ClientConnection
+from .http import BadMessage
 from .logs import log_warning
 from .overflow import Overflow
 from .phases import ASKED, BUSY, CHECK_INTERVAL_FULL, FRESH, FULL, LOOK, NORMAL, STREAMING, Phases
@@ -25,6 +27,14 @@
 MAX_BAD_REQUESTS = 4  # unknown paths or methods per connection before it is closed
 
 
+class Fault(NamedTuple):
+    """Why a request cannot be served: the status, text and further header lines of the answer."""
+
+    status: int
+    text: str
+    more: str = ''
+
+
 class Listener(Factory):
     """Factory of client connections, within a budget of descriptors."""
 
@@ -58,10 +68,11 @@
         guard(
             self.port,
             self.node.router.late,
-            http.is_single_read,
+            http.is_single_request,
             self.refusal,
             self.crowded,
             self.node.call_failed,
+            self.fault_unread,
         )
         self.update_accepting()
         self.evict_overdue()
@@ -76,7 +87,7 @@
         Guards against overload, in which parsing requests that can only be refused costs most of what
         serving them does.
         """
-        return self.node.router.late(self.clock() - came) and http.is_single_read(data)
+        return self.node.router.late(self.clock() - came) and http.is_single_request(data)
 
     def refusal(self, keep_alive=False):
         """Return the answer for a request that has waited too long before it was accepted."""
@@ -269,57 +280,81 @@
 
     def requested(self, client, message):
         """Route a complete request: answer it here, or pass it to the node."""
-        method, path = message.parts[0], message.path
-        if path == b'/ready':
+        if message.path == b'/ready':
             status, text = (200, 'ready\n') if self.node.ready() else (503, 'not ready\n')
             client.reply(http.answer(status, self.stay(client), text))
             return
-        parts = path.split(b'/')
-        row = self.profiles.get(parts[1]) if len(parts) > 1 and not parts[0] else None
-        if row is None or method not in (b'GET', b'PUT'):
+        fault = self.find_fault(message)
+        if fault is None:
+            self.start_transaction(client, message)
+        elif fault.status in (404, 405):
             # Guards against a client that repeats a bad request as soon as it is refused.
             client.bad_requests += 1
             client.keep_alive = client.keep_alive and client.bad_requests < MAX_BAD_REQUESTS
-        if row is None:
-            client.reply(http.answer(404, self.stay(client), 'no such path\n'))
-        elif method not in (b'GET', b'PUT'):
-            client.reply(http.answer(405, self.stay(client), 'GET or PUT\n', 'Allow: GET, PUT\r\n'))
+            client.reply(http.answer(fault.status, self.stay(client), fault.text + '\n', fault.more))
         else:
-            self.start_transaction(client, message, row, parts[2:])
+            self.node.count('malformed')
+            client.refuse(fault.status, fault.text)
+
+    def find_fault(self, message):
+        """Return the Fault of a request that cannot be served, or None."""
+        if self.profile_row(message) is None:
+            return Fault(404, 'no such path')
+        if message.parts[0] not in (b'GET', b'PUT'):
+            return Fault(405, 'GET or PUT', 'Allow: GET, PUT\r\n')
+        name, owner = message.field(b'req-id'), message.field(b'req-owner')
+        sound = name and message.field(b'host') and (not owner or owner in self.tenants)
+        if not sound or self.wait_of(message) < 0:
+            return Fault(400, 'Host, Req-Id, Req-Deadline or Req-Owner out of form')
+        if self.node.is_known_id(name):
+            # Guards against executing one id twice; the first request continues.
+            return Fault(409, 'this Req-Id is open')
+        return None
+
+    def fault_unread(self, data):
+        """Return the answer to a new connection's unread bytes if they are one unsound request, or None.
 
-    def start_transaction(self, client, message, row, parts):
-        """Validate a request for a profile and pass it to the node."""
-        told = message.field(b'req-deadline')
-        owner = message.field(b'req-owner')
+        Guards against a flood of unsound requests on ever new connections, behind which others wait: here
+        each costs a few system calls.
+        """
+        try:
+            message = http.single_request(data)
+            if message is None or message.path == b'/ready':
+                return None
+            fault = self.find_fault(message)
+        except BadMessage as err:
+            fault = Fault(err.status, str(err))
+        if fault is None:
+            return None
+        self.node.count('malformed_unread')
+        return b''.join(http.answer(fault.status, False, fault.text + '\n', fault.more))
+
+    def profile_row(self, message):
+        """Return the number of the profile that a request's path names, or None."""
+        parts = message.path.split(b'/')
+        return self.profiles.get(parts[1]) if len(parts) > 1 and not parts[0] else None
+
+    def wait_of(self, message):
+        """Return how long a request's client waits, in ticks; below 0 if that is malformed."""
+        told, hard = message.field(b'req-deadline'), self.terms.profiles[self.profile_row(message)].hard_limit
         try:
-            wait = hard = self.terms.profiles[row].hard_limit
-            if told is not None:
-                wait = min(hard, to_ticks_floor(number(told.decode('latin-1'))))
+            return hard if told is None else min(hard, to_ticks_floor(number(told.decode('latin-1'))))
         except InvalidValueError:
-            wait = -1
-        if (
-            wait < 0
-            or owner
-            and owner not in self.tenants
-            or not message.field(b'req-id')
-            or not message.field(b'host')
-        ):
-            self.node.count('malformed')
-            client.refuse(400, 'Host, Req-Id, Req-Deadline or Req-Owner out of form')
-            return
-        if self.node.is_known_id(message.field(b'req-id')):
-            # Guards against executing one id twice; the first request continues.
-            self.node.count('malformed')
-            client.refuse(409, 'this Req-Id is open')
-            return
+            return -1
+
+    def start_transaction(self, client, message):
+        """Pass a sound request to the node, if there is room for it."""
         if not self.overflow.has_slot(client):
             self.overflow.refuse(client)
             return
         if not self.memory.admits(client):
             self.refuse_for_memory(client, message)
             return
-        key = parts[-1].decode('latin-1') if parts and parts[-1] else None
-        self.node.take(client, message, row, key, wait, client.received_at)
+        last = message.path.rpartition(b'/')[2] if message.path.count(b'/') > 1 else b''
+        key = last.decode('latin-1') or None
+        self.node.take(
+            client, message, self.profile_row(message), key, self.wait_of(message), client.received_at
+        )
 
     def refuse_for_memory(self, client, message):
         """Refuse a request at once that there is no memory for. It has not been sent to any server."""
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -183,10 +183,11 @@
 
     MAX_REJECTED = 32  # connections refused in a row before other sockets are served
     PEEK_BYTES = 16_384  # unread bytes inspected on a connection
+    BEHIND = 100  # ticks that a connection has waited from which the queue counts as long
 
-    def __init__(self, listening, late, whole, answer, crowded, call_failed):
+    def __init__(self, listening, late, whole, answer, crowded, call_failed, fault=lambda data: None):
         self.listening, self.late, self.whole, self.answer = listening, late, whole, answer
-        self.crowded, self.call_failed = crowded, call_failed
+        self.crowded, self.call_failed, self.fault = crowded, call_failed, fault
 
     def __getattr__(self, name):
         return getattr(self.listening, name)
@@ -206,7 +207,7 @@
             state, waited = tcp_info(came)
             if state in CLOSED_STATES:
                 came.close()  # the client is gone
-            elif not self.late(waited) or not self.reject(came):
+            elif not self.is_rejected(came, waited):
                 return came, address
         raise BlockingIOError(EAGAIN, 'accept limit reached')
 
@@ -220,15 +221,24 @@
         if number not in ACCEPT_GONE:
             self.crowded(number in NO_DESCRIPTOR)
 
-    def reject(self, came):
+    def is_rejected(self, came, waited):
+        """Return whether a connection was refused: its request has waited too long, or the queue is long and
+        its request is unsound.
+        """
+        if self.late(waited):
+            return self.reject(came, lambda data: b''.join(self.answer()) if self.whole(data) else None)
+        return waited >= self.BEHIND and self.reject(came, self.fault)
+
+    def reject(self, came, answer_to):
         """Refuse a connection if exactly one whole request lies unread on it; closing with anything
         else unread, or still to come, would reset the connection and lose the answer. Return whether it
         was refused; otherwise it is accepted, also if the answer cannot be sent now.
+
+        answer_to(data): the answer to what lies unread, or None.
         """
         try:
-            if not self.whole(came.recv(self.PEEK_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)):
-                return False
-            if not self.sent(came, b''.join(self.answer())):
+            answer = answer_to(came.recv(self.PEEK_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+            if not answer or not self.sent(came, answer):
                 return False
         except BlockingIOError:
             return False  # nothing received yet
@@ -272,17 +282,18 @@
         return 0, 0
 
 
-def guard(port, late, whole, answer, crowded, call_failed):
+def guard(port, late, whole, answer, crowded, call_failed, fault=lambda data: None):
     """Put an AcceptFilter in front of a port, and defer accepting each connection until its first bytes or
     for a second (TCP_DEFER_ACCEPT), so that silent connections take no slot. whole(data): whether it is
     exactly one request; crowded(no_descriptor): called if the next connection cannot be accepted now;
-    call_failed(call, errno): called for each failed call.
+    call_failed(call, errno): called for each failed call; fault(data): the answer to an unsound request, or
+    None.
     """
     try:
         port.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
     except OSError as err:
         call_failed('setsockopt', err.errno)  # optional
-    port.socket = AcceptFilter(port.socket, late, whole, answer, crowded, call_failed)
+    port.socket = AcceptFilter(port.socket, late, whole, answer, crowded, call_failed, fault)
 
 
 def no_delay(transport):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -315,7 +315,7 @@
 def asked(made, text='GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n\r\n'):
     """Return the wire of a client that has sent a request with an unused id."""
     protocol, wire = client(made)
-    text = text.replace('%d', str(len(made.ids) + 7))
+    text = text.replace('%d', str(made.counts['taken'] + 7))
     protocol.dataReceived(text.encode())
     wire.protocol = protocol
     return wire
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -184,7 +184,7 @@
     """Watches that fall silent, break, or deliver lists in unusual pieces."""
 
     def test_indented_list_over_many_chunks(self):
-        rows = [self.row('o'), entry('c9 "}', hostPort=self.servers['c0'].address)]
+        rows = [self.row('o'), entry('c9 "}')]
         for at in range(0, len(text := told(6, *rows, indent=2)), 7):
             self.watch.say(chunk(text[at : at + 7]))
         self.assertIn('caches=1', self.until('list'))
--- a/tests/test_first_list.py
+++ b/tests/test_first_list.py
@@ -28,6 +28,7 @@
 from .test_net import PUT, READY, Quiet, status
 
 GET = 'GET /read/k HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Deadline: %s\r\n\r\n'
+PORT = int(entry('c0')['hostPort'].rpartition(':')[2])
 LATEST = 0.55  # seconds after its time when an answer counts as none (STANDING, with the protocol's 50 ms)
 KILL_AFTER = 0.7  # seconds beyond the longest limit after which SIGKILL may follow SIGTERM
 
@@ -81,7 +82,7 @@
         before = connections(made)
         refused(made)
         connection_up(made).protocol.dataReceived(said())
-        self.assertEqual((before, connections(made), status(wire)), ([], [8000], 200))
+        self.assertEqual((before, connections(made), status(wire)), ([], [PORT], 200))
 
     def test_sent_by_the_remembered_list_once_the_wait_is_over(self):
         for mode in ('pushed', 'on_request'):
@@ -92,7 +93,7 @@
                 before = made.phase, connections(made)
                 made.reactor.advance(0.15)
                 connection_up(
-                    made, [row[1] for row in made.reactor.tcpClients].index(8000)
+                    made, [row[1] for row in made.reactor.tcpClients].index(PORT)
                 ).protocol.dataReceived(said())
                 self.assertEqual((before, made.phase, status(wire)), ((STARTING, []), SERVING, 200))
 
