--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -12,7 +12,7 @@
 from .http import BadMessage, Reader
 from .logs import LOG, log_warning
 from .phases import ASKED, CLOSING, FRESH, IDLE, RECEIVING, STREAMING
-from .sockets import buffered_bytes, no_delay, peer_closed, send_now, time_unread, waiting
+from .sockets import buffered_bytes, close_now, no_delay, peer_closed, send_now, time_unread, waiting
 
 MIN_BODY_RATE = 16_384  # bytes per second; each byte received extends the time for the rest
 MAX_READ_AHEAD = http.MAX_BODY  # bytes of pipelined input; then reading is paused
@@ -329,7 +329,7 @@
         self.closed_for = 'idle'
         self.listener.put(self, CLOSING)
         self.listener.idle_closed_at = self.listener.clock()
-        self.transport.loseConnection()
+        close_now(self.transport)
 
     def give_up_memory(self):
         """End an incomplete request or an answer that is not read, for want of memory."""
--- a/lilacdyke/net/handover.py
+++ b/lilacdyke/net/handover.py
@@ -313,6 +313,11 @@
         except Exception as err:  # the node still serves, but cannot hand over
             log_warning('no hand-over possible', reason=err)
 
+    @property
+    def has_other_process(self):
+        """Whether another process of this node runs."""
+        return bool(self.predecessor or self.successor)
+
     def share_ids(self, digests):
         """Tell the other processes of this node of ids that must not run again."""
         for link in (self.predecessor, self.successor):
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -94,6 +94,8 @@
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.events = EventLog(self.clock, lines_per_second)
         budget = self.descriptor_share(self.descriptors() - RESERVED_DESCRIPTORS)
+        self.handover = None  # links to the node's other processes, if it can hand over
+        self.idle_kb = system.resident_kb()  # what this process uses without any connection
         self.memory = MemoryBudget(self.usable_memory(), budget)
         self.listener = Listener(
             self, self.deadlines, self.clock, config.terms, self.memory.connections, self.events, self.memory
@@ -117,7 +119,7 @@
         self.figures = Figures(self)
         self.operator_server = None
         self.out_of_rotation, self.away_since = False, 0  # by operators; since when
-        self.handover, self.exit_code = None, 0  # links to the node's other processes, if it can hand over
+        self.exit_code = 0
         self.changes = None  # distributed changes, if there is a changes file (changes/node.py)
         self.fleet = None  # limits shared with other nodes, if there is a fleet file (plan/fleet.py)
         self.settling = False
@@ -131,12 +133,13 @@
         """Return how many file descriptors this process may use."""
         return min(self.config.sockets, self.system.descriptors() or self.config.sockets)
 
-    def usable_memory(self, processes=1):
-        """Return how many bytes this process may use beyond those that it uses now.
+    def usable_memory(self):
+        """Return how many bytes the connections of this process may use.
 
-        processes: of this node that run now; each uses about the same.
+        The page's limit holds for both processes of an upgrade together; each uses about the same.
         """
-        return self.config.memory - processes * self.system.resident_kb() * 1024
+        processes = 2 if self.handover and self.handover.has_other_process else 1
+        return self.config.memory // processes - self.idle_kb * 1024
 
     # --- lifecycle --------------------------------------------------------------------------------------
 
@@ -385,6 +388,8 @@
             self.listener.budget = self.caches.budget = self.descriptor_share(
                 self.handover.succession.capacity
             )
+        self.memory.resize(self.usable_memory(), self.listener.budget)
+        self.listener.budget = self.memory.connections
         if self.listener.port:
             self.listener.check_slots()
             self.listener.update_accepting()
--- a/lilacdyke/net/sockets.py
+++ b/lilacdyke/net/sockets.py
@@ -18,7 +18,7 @@
 from twisted.internet.tcp import Client
 
 from .local_errors import ACCEPT_GONE, NO_DESCRIPTOR, NO_MEMORY, RETRIED_IO_ERRNOS, errno_name
-from .transports import Connector, PatientEpoll, Port, RetryingReactor
+from .transports import AcceptedConnection, Connector, PatientEpoll, Port, RetryingReactor
 
 LAST_RECEIVED_OFFSET = 52  # byte offset of tcpi_last_data_recv in struct tcp_info
 LISTEN_TRIES, LISTEN_PAUSE_SECONDS = 20, 0.05  # retries while out of memory or descriptors
@@ -320,6 +320,14 @@
     return len(transport.dataBuffer) - transport.offset + sum(map(len, transport._tempDataBuffer))
 
 
+def close_now(transport):
+    """Close a connection in this turn of the event loop, or once what its transport holds has been sent."""
+    if isinstance(transport, AcceptedConnection) and not waiting(transport):
+        transport.close_now()
+    else:
+        transport.loseConnection()
+
+
 def send_now(transport, data):
     """Send immediately, bypassing the transport's buffer, which must be empty; return the number of
     bytes sent. The transport learns of an error at its next read or write.
--- a/lilacdyke/net/transports.py
+++ b/lilacdyke/net/transports.py
@@ -90,6 +90,14 @@
 class AcceptedConnection(PatientTransport, tcp.Server):
     """Incoming connection."""
 
+    def close_now(self):
+        """Close in this turn of the event loop.
+
+        Twisted closes in a later one, and what arrives meanwhile is reset unread. For empty transports only.
+        """
+        if not self.disconnected:
+            self.connectionLost(Failure(CONNECTION_DONE))
+
 
 class Connector(tcp.Connector):
     """Connector that creates OpenedConnection transports."""
