Bound what one peer costs: leavers that cannot be seen, operators, lists, fleet links

Operators' port: a call could hold 32 MiB of body for each of twelve callers; 4 KiB now, then 413. Callers that were answered and stay are 32 at most, one is accepted and 8 KiB are read a turn, as they come before all others. Discovery: all changes of a read were applied in one turn, each at a cost by the number of servers; eight now.

--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -41,6 +41,7 @@
         self.over_budget = False  # whether it has no slot, so that its requests are refused
         self.closed_for = None  # why this side closes the connection; None: it does not
         self.read_scheduled = False  # whether input that was received earlier is read in a later turn
+        self.input_paused = False  # whether reading is paused as too much input is held
         self.flushing = False  # whether the next request waits until the client has accepted the last answer
         self.charged = 0  # bytes charged to the memory budget
         self.requests = self.refusals = 0  # requests read; those refused or answered with an error
@@ -128,6 +129,7 @@
         if self.upload or self.phase in (CLOSING, None):
             return  # bodies.py and discard() decide
         if self.busy and len(self.reader.buffer) > MAX_READ_AHEAD:
+            self.input_paused = True
             self.transport.pauseProducing()
         elif not self.busy and memory.must_wait(self):
             self.transport.pauseProducing()
@@ -138,6 +140,7 @@
         if self.upload or self in self.listener.memory.paused:
             return
         if len(self.reader.buffer) <= MAX_READ_AHEAD:
+            self.input_paused = False
             self.transport.resumeProducing()
 
     def memory_available(self):
@@ -300,7 +303,10 @@
     # Closing
 
     def peer_gone(self):
-        """Return whether the client has gone, even if that lies unread."""
+        """Return whether the client has gone, even if that lies unread.
+
+        It cannot be seen while `input_paused`: behind a full receive window the end does not arrive.
+        """
         return self.phase is None or peer_closed(self.transport)
 
     def drop_disconnected(self):
--- a/lilacdyke/net/discovery.py
+++ b/lilacdyke/net/discovery.py
@@ -32,6 +32,7 @@
 MIN_REDIAL_DELAY, MAX_REDIAL_DELAY = 50, 1_000  # ticks until the next attempt after a local failure
 WORDS = {state: word for word, state in STATES.items()}
 MAX_LIST = 4 << 20  # bytes of a list
+MAX_LISTS_A_TURN = 8  # lists and changes applied before other connections are read
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # a JSON string, whose contents do not nest
 
 
@@ -91,6 +92,7 @@
         # partial_list: received part of an indented list; depth: its nesting
         self.partial_list, self.depth = bytearray(), 0
         self.throttled = False  # whether discovery rejected the call for load
+        self.reads_later = False  # whether more lines are processed in a later turn
 
     def connectionMade(self):
         no_delay(self.transport)
@@ -104,7 +106,8 @@
             if self.chunks or self.read_head():
                 self.discovery.last_received = self.discovery.clock()
                 self.line += self.chunks.read(self.reader.buffer)
-                self.process_lines()
+                if not self.reads_later:
+                    self.process_lines()
         except (BadMessage, InvalidValueError, ValueError, RecursionError) as err:
             self.discovery.lost(self, 'invalid answer: %s' % err)
         except Exception:
@@ -123,22 +126,34 @@
         return True
 
     def process_lines(self):
-        """Process each complete line; an empty line is a heartbeat."""
-        while (end := self.line.find(b'\n')) >= 0:
+        """Process complete lines, until a few lists have been applied in this turn of the event loop.
+
+        Guards against a flood of changes, each of which costs time by the number of servers.
+        """
+        applied = 0
+        while applied < MAX_LISTS_A_TURN and (end := self.line.find(b'\n')) >= 0:
             line = bytes(self.line[:end]).strip()
             del self.line[: end + 1]
-            if not line and self.partial_list:
-                # An empty line is a heartbeat and cannot be part of a list.
-                raise InvalidValueError('incomplete list')
-            if line and (whole := self.assemble_list(line)):
-                self.discovery.apply_list(read_list(json.loads(whole)))
-            if not self.partial_list:
-                self.discovery.last_complete = self.discovery.last_line_at = self.discovery.last_received
+            applied += self.process_line(line)
         if len(self.line) + len(self.partial_list) > MAX_LIST:
             raise InvalidValueError('line too long')
-        if self.chunks.ended:
+        if b'\n' in self.line:
+            self.discovery.read_on_later(self)
+        elif self.chunks.ended:
             self.discovery.lost(self, 'ended')
 
+    def process_line(self, line):
+        """Process a complete line; an empty one is a heartbeat. Return whether a list was applied."""
+        if not line and self.partial_list:
+            # An empty line is a heartbeat and cannot be part of a list.
+            raise InvalidValueError('incomplete list')
+        whole = self.assemble_list(line) if line else None
+        if whole:
+            self.discovery.apply_list(read_list(json.loads(whole)))
+        if not self.partial_list:
+            self.discovery.last_complete = self.discovery.last_line_at = self.discovery.last_received
+        return bool(whole)
+
     def assemble_list(self, line):
         """Return the complete list that ends with this line, or None.
 
@@ -271,6 +286,20 @@
         else:
             self.deadlines.at(due, self.silent, number)
 
+    def read_on_later(self, watch):
+        """Pause a watch, and process more of its lines in a later turn of the event loop."""
+        watch.reads_later = True
+        watch.transport.pauseProducing()
+        self.deadlines.at(self.clock(), self.read_on, watch.number)
+
+    def read_on(self, number):
+        """Process more lines that were received earlier."""
+        watch = self.table.get(number)
+        if watch is not None:
+            watch.reads_later = False
+            watch.transport.resumeProducing()
+            watch.dataReceived(b'')
+
     def apply_list(self, lines):
         """Pass a list or change to the node."""
         self.redials = 0
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -493,13 +493,16 @@
                 attempt.exchange.cut('unsent', 'client gone')
         self.settle()
 
-    def wanted(self, active):
-        """Return whether its attempts may still be sent.
+    def wanted(self, active, hop):
+        """Return whether this attempt may still be sent.
 
-        They may not once the client is gone, even if that has not been read from its socket yet. Where
-        attempts may not be cancelled, one that waits for a connection would still be sent, for nobody.
+        It may not once the client is gone, even if that has not been read from its socket yet, and no
+        further attempt is made while that could not be seen. Where attempts may not be cancelled, one that
+        waits for a connection would still be sent, for nobody.
         """
-        return self.active_requests.get(active.number) is active and not active.client.peer_gone()
+        if not self.is_open(active) or active.client.peer_gone():
+            return False
+        return hop.index == 0 or not active.client.input_paused
 
     def forget(self, active, answered=True):
         """Remove a request that has its answer or needs none, and return its client.
@@ -796,7 +799,7 @@
             hop.server,
             active.message,
             until,
-            lambda: self.wanted(active),
+            lambda: self.wanted(active, hop),
             hop.index > 0,
             lambda: self.guard.check_send(active, hop),
         )
--- a/lilacdyke/net/operator.py
+++ b/lilacdyke/net/operator.py
@@ -17,6 +17,9 @@
 MAX_CALLERS = 12  # without an answer at once; the oldest is closed when another connects
 CALL_TIMEOUT = 50_000  # for a caller to complete its call
 CLOSE_TIMEOUT = 10_000  # for a caller to close after its answer
+MAX_CALL_BODY = 4_096  # bytes; calls need none
+MAX_CONNECTIONS = 32  # with those that were answered and do not close; the oldest makes way for another
+READ_SIZE = 8_192  # bytes read in a turn of the event loop, as these connections come before all others
 METHODS = {
     (b'v1', b'readyz'): 'can_serve',
     (b'v1', b'node', b'drain'): 'empty',
@@ -39,11 +42,12 @@
     urgent = True  # the reactor reads it before ordinary connections
 
     def __init__(self, server):
-        self.server, self.reader = server, Reader(http.REQUEST)
+        self.server, self.reader = server, Reader(http.REQUEST, MAX_CALL_BODY)
         self.number, self.received, self.answered = None, False, False
 
     def connectionMade(self):
         no_delay(self.transport)
+        self.transport.bufferSize = READ_SIZE
         self.server.opened(self)
 
     def dataReceived(self, data):
@@ -90,7 +94,8 @@
     def __init__(self, node, deadlines, clock):
         self.node, self.deadlines, self.clock = node, deadlines, clock
         self.table, self.port = SlotTable(), None
-        self.waiting = {}  # connections without an answer by number, oldest first
+        # Connections by number, oldest first: those without an answer, and all.
+        self.waiting, self.open = {}, {}
 
     @property
     def holds(self):
@@ -100,8 +105,10 @@
     def listen(self, reactor, host, port):
         """Start to accept calls."""
         self.port = reactor.listenTCP(port, self, backlog=64, interface=host)
+        self.port.numberAccepts = 1
 
     def buildProtocol(self, addr):
+        self.port.numberAccepts = 0  # one a turn of the event loop: clients wait meanwhile
         return OperatorConnection(self)
 
     def opened(self, caller):
@@ -111,13 +118,16 @@
         """
         if len(self.waiting) >= MAX_CALLERS:
             next(iter(self.waiting.values())).overdue()
+        if len(self.open) >= MAX_CONNECTIONS:
+            next(iter(self.open.values())).transport.abortConnection()
         caller.number = self.table.add(caller)
-        self.waiting[caller.number] = caller
+        self.waiting[caller.number] = self.open[caller.number] = caller
         self.deadlines.at(self.clock() + CALL_TIMEOUT, self.timed_out, caller.number)
 
     def closed(self, caller):
         """Remove a closed connection."""
         self.waiting.pop(caller.number, None)
+        self.open.pop(caller.number, None)
         self.table.remove(caller.number)
 
     def timed_out(self, number):
--- a/lilacdyke/plan/link.py
+++ b/lilacdyke/plan/link.py
@@ -23,6 +23,9 @@
     pack,
 )
 
+# Bytes, so that the frames of one link take a short part of a turn of the event loop.
+READ_SIZE = 8_192
+
 
 class FrameProtocol(Protocol):
     """One end of a link. handlers: maps each kind of frame accepted here to the name of the method that
@@ -35,6 +38,7 @@
 
     def connectionMade(self):
         no_delay(self.transport)
+        self.transport.bufferSize = READ_SIZE
 
     def dataReceived(self, data):
         if self.ended:
--- a/tests/overload/stand.py
+++ b/tests/overload/stand.py
@@ -136,7 +136,8 @@
     def begin_node(self, log):
         """Start a process of the node."""
         path = os.path.join(self.folder, 'page-%d.json' % len(self.started))
-        operator = {'operator': '127.0.0.1:%d' % free()} if self.operator else {}
+        self.operator_port = free()
+        operator = {'operator': '127.0.0.1:%d' % self.operator_port} if self.operator else {}
         with open(path, 'w', encoding='utf-8') as file:
             file.write(
                 page(
@@ -212,12 +213,11 @@
         with open(self.log_path, encoding='utf-8') as file:
             return file.read()
 
-    def flood(self, kind, seconds, **options):
+    def flood(self, kind, seconds, port=None, **options):
         """Run a flood (floods.py) to its end beside ordinary clients; return their answers."""
         clients = OrdinaryClients(self.port).start()
-        flood = self.start(
-            '-m', 'tests.overload.floods', kind, str(self.port), str(seconds), json.dumps(options)
-        )
+        port = port or self.port
+        flood = self.start('-m', 'tests.overload.floods', kind, str(port), str(seconds), json.dumps(options))
         flood.wait(seconds + START_TIMEOUT)
         time.sleep(ORDINARY_WAIT)
         return clients.finish()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -841,6 +841,17 @@
         )
         self.assertEqual(([s.name for s in made.router.caches], made.discovery.version), (['c1'], 5))
 
+    def test_flood_of_changes_is_applied_over_several_turns(self):
+        """Guards against a turn of the event loop that lasts as long as all changes of a read take."""
+        made = node()
+        watch = watched(made)
+        changes = [{'generation': 5 + n, 'reset': False, 'instances': [entry('c%d' % n)]} for n in range(100)]
+        watch.protocol.dataReceived(b''.join(chunk(change) for change in changes))
+        first = made.discovery.version
+        for _ in range(100):
+            made.reactor.advance(0)
+        self.assertEqual((first < 20, made.discovery.version, len(made.router.caches)), (True, 104, 100))
+
     def test_server_missing_from_complete_list_is_gone(self):
         made = node()
         watched(made).protocol.dataReceived(
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -3,7 +3,7 @@
 from lilacdyke.decode import parse_config
 from lilacdyke.logic import Server
 from lilacdyke.net.node import DRAINING, OUT_OF_ROTATION, SERVING
-from lilacdyke.net.operator import CALL_TIMEOUT, MAX_CALLERS, OperatorServer
+from lilacdyke.net.operator import CALL_TIMEOUT, MAX_CALLERS, MAX_CONNECTIONS, OperatorServer
 from lilacdyke.values import InvalidValueError
 
 from .helpers import Wire, asked, connection_up, node, page, router, said, sent, taken
@@ -202,3 +202,24 @@
             (DRAINING, 503, 200),
         )
         self.assertEqual(status(call(operators, 'GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n')), 503)
+
+
+class HeavyCallers(Quiet):
+    """Callers that hold more than calls need (incident dda08d)."""
+
+    def test_call_with_a_large_body_is_refused_at_once(self):
+        _, operators = operator_node()
+        for framing in ('Content-Length: 30000000', 'Transfer-Encoding: chunked'):
+            with self.subTest(framing=framing):
+                wire = call(operators, 'POST /v1/node/drain HTTP/1.1\r\nHost: x\r\n%s\r\n\r\n' % framing)
+                wire.protocol.dataReceived(b'1c9c380\r\n')
+                self.assertEqual(status(wire), 413)
+
+    def test_answered_callers_that_stay_make_way(self):
+        _, operators = operator_node()
+        wires = [
+            call(operators, 'GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n') for _ in range(MAX_CONNECTIONS)
+        ]
+        before = [wire.aborted for wire in wires]
+        call(operators, '')
+        self.assertEqual((any(before), [wire.aborted for wire in wires].index(True)), (False, 0))
