--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -285,6 +285,7 @@
             self.flushing = False
             self.transport.unregisterProducer()
             self.continue_reading()
+            self.listener.memory.update(self)
 
     def stopProducing(self):
         """Called when the connection ends; handled in connectionLost."""
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -118,9 +118,16 @@
     def evict_overdue(self, _=0):
         """Close overdue connections periodically."""
         self.phases.make_room(self.budget, NORMAL)
+        if self.memory.paused or self.memory.exhausted:
+            self.review_memory()
+        self.deadlines.at(self.clock() + LOOK, self.evict_overdue, 0)
+
+    def review_memory(self):
+        """Charge all connections anew, as output leaves without an event, and end some that hold too much."""
+        for holder in (*self.table, *self.node.caches.table):
+            self.memory.update(holder)
         if self.memory.overdrawn:
             self.phases.free_memory(self.memory)
-        self.deadlines.at(self.clock() + LOOK, self.evict_overdue, 0)
 
     def evict_while_full(self, _=0):
         """Close overdue connections, more often and a few at a time, while all slots are taken."""
