--- a/lilacdyke/net/http.py
+++ b/lilacdyke/net/http.py
@@ -37,8 +37,9 @@
 )
 # Header fields that are read here; of all others only the form is checked.
 READ_FIELDS = HOP_BY_HOP | SINGLE_VALUED | {b'srv-cache'}
-READ_FIELD = re.compile(rb'(?im)^(' + rb'|'.join(sorted(READ_FIELDS)) + rb'):[ \t]*([^\r\n\0]*?)[ \t]*\r\n')
+LINE_STARTS = [(name, b'\n' + name + b':') for name in sorted(READ_FIELDS)]
 BODY_HEADER = re.compile(rb'(?i)\n(?:content-length|transfer-encoding)[ \t]*:')  # announces a body
+LENGTH_HEADER = re.compile(rb'(?i)\ncontent-length:[ \t]*([0-9]{1,12})[ \t]*\r\n')
 ORIGIN_PREFIX = re.compile(rb'(?i:https?)://[^/?#]*')
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -160,16 +161,26 @@
     message = Message(bytes(memoryview(buffer)[:end]), begun)
     if FIELDS.match(message.head, begun.end()).end() != end - len(b'\r\n'):
         raise BadMessage(400, 'header line out of form')
-    for line in READ_FIELD.finditer(message.head, begun.end()):
-        add_field(message, line)
+    add_fields(message)
     return message
 
 
-def add_field(message, line):
-    """Add a header field that is read here to a message."""
-    name, value, fields = line[1].lower(), line[2], message.fields
-    if name in HOP_BY_HOP:
-        message.hop_by_hop.append(line.span())
+def add_fields(message):
+    """Add the header fields that are read here to a message."""
+    head = message.head
+    lowered = head.lower()
+    for name, start in LINE_STARTS:
+        at = lowered.find(start, message.fields_begin - 1)
+        while at >= 0:
+            end = head.index(b'\r\n', at + 1)
+            if name in HOP_BY_HOP:
+                message.hop_by_hop.append((at + 1, end + 2))
+            add_field(message.fields, name, head[at + len(start) : end].strip(b' \t'))
+            at = lowered.find(start, end)
+
+
+def add_field(fields, name, value):
+    """Add one header field: a further value of a list, or a repetition of the only value."""
     if name not in fields:
         fields[name] = value
     elif name not in SINGLE_VALUED:
@@ -197,13 +208,13 @@
 
 
 def is_single_request(data):
-    """Return whether the bytes are exactly one GET or PUT request that is whole."""
-    if data.startswith(b'GET '):
+    """Return whether the bytes look like exactly one GET or PUT request that is whole."""
+    if not data.startswith(b'PUT '):
         return is_single_read(data)
-    try:
-        return data.startswith(b'PUT ') and single_request(data) is not None
-    except BadMessage:
-        return False
+    end = data.find(b'\r\n\r\n') + 4
+    framings = BODY_HEADER.findall(data, 0, end)
+    length = LENGTH_HEADER.search(data, 0, end)
+    return end > 3 and len(framings) == 1 and bool(length) and len(data) == end + int(length[1])
 
 
 class Chunks:
--- a/lilacdyke/net/listener.py
+++ b/lilacdyke/net/listener.py
@@ -24,6 +24,7 @@
 QUIET_PERIOD = 2_500  # ticks without a new connection after which none is expected
 RESERVED_SLOTS = 2  # free slots at which connections are closed after their answer
 MAX_LAST_ACCEPTS = 16  # connections accepted right before the listening socket is closed
+MAX_UNREAD_CHECK = 1_024  # bytes of a request that is checked before its connection is let in
 MAX_BAD_REQUESTS = 4  # unknown paths or methods per connection before it is closed
 
 
@@ -324,6 +325,8 @@
         Guards against a flood of unsound requests on ever new connections, behind which others wait: here
         each costs a few system calls.
         """
+        if len(data) > MAX_UNREAD_CHECK:
+            return None
         try:
             message = http.single_request(data)
             if message is None or message.path == b'/ready':
