--- a/tests/overload/stand.py
+++ b/tests/overload/stand.py
@@ -16,6 +16,7 @@
 import time
 import unittest
 from copy import deepcopy
+from typing import NamedTuple
 
 from ..helpers import SETTINGS, page
 from ..test_upgrade import free
@@ -37,15 +38,21 @@
     return made
 
 
-def receive_answer(connection, until):
-    """Return the status of an answer that is complete by this time, or None."""
+class WholeAnswer(NamedTuple):
+    """An answer that was received whole."""
+
+    status: int
+    closes: bool  # whether its connection ends with it
+
+
+def receive(connection, until):
+    """Return an answer that is complete by this time, or None."""
     data = b''
     while True:
         head, separator, body = data.partition(b'\r\n\r\n')
-        if separator:
-            length = int(head.lower().partition(b'content-length: ')[2].split(b'\r\n')[0] or 0)
-            if len(body) >= length:
-                return int(head[9:12])
+        fields = head.lower()
+        if separator and len(body) >= int(fields.partition(b'content-length: ')[2].split(b'\r\n')[0] or 0):
+            return WholeAnswer(int(head[9:12]), b'connection: close' in fields)
         connection.settimeout(max(0.001, until - time.monotonic()))
         try:
             more = connection.recv(65_536)
@@ -56,6 +63,12 @@
         data += more
 
 
+def receive_answer(connection, until):
+    """Return the status of an answer that is complete by this time, or None."""
+    answer = receive(connection, until)
+    return answer and answer.status
+
+
 class OrdinaryClients:
     """Clients that send ten requests a second, each on a new connection, and record what becomes of them."""
 
@@ -101,6 +114,8 @@
     """A node with four caches and the origin, and a memory limit in its page."""
 
     memory_mb, descriptors = 64, 1024
+    settings = staticmethod(settings)
+    last_log = ''  # of the node, once it has ended
     lines_per_second = 0  # limit of the node's log on single requests
 
     @contextlib.contextmanager
@@ -116,6 +131,7 @@
                 yield
             finally:
                 self.end_processes()
+                self.last_log = self.log()
 
     @property
     def log_path(self):
@@ -143,7 +159,7 @@
                 page(
                     listen='127.0.0.1:%d' % self.port,
                     discovery='127.0.0.1:%d' % self.told['agent'],
-                    settings=settings(),
+                    settings=self.settings(),
                     limits={'cores': 1.0, 'memory_mb': self.memory_mb, 'sockets': self.descriptors},
                     known={'generation': 4, 'reset': True, 'instances': self.told['instances']},
                     **operator,
