--- a/lilacdyke/net/memory.py
+++ b/lilacdyke/net/memory.py
@@ -14,7 +14,7 @@
 SMALL_REQUESTS_PART = 1.25  # of the shared bytes: up to this, small requests are still taken
 LOW_WATER = 0.8  # of the shared bytes: under this, reading resumes
 MIN_SHARED_BYTES = 1 << 20
-MIN_CONNECTIONS = 16
+MIN_CONNECTIONS = 64  # also where the limit is too low for an idle process
 LARGE_PIECE, SMALL_PIECE = 32_768, 8_192  # bytes read at a time, and buffered before a source is paused
 
 
--- a/lilacdyke/net/node.py
+++ b/lilacdyke/net/node.py
@@ -11,16 +11,16 @@
 from twisted.internet.error import CannotListenError
 
 from ..decode import read_config
-from ..logic import Router, Server
+from ..logic import Router
 from ..terms import IDEMPOTENT
 from ..values import SECOND, InvalidValueError, format_seconds
 from . import http
-from .addresses import AddressOwners
 from .caches import CACHE_STATUSES, Caches
 from .discovery import Discovery, read_list
 from .events import EventLog
 from .figures import Figures
 from .guard import Guard
+from .listed_servers import ListedServers
 from .listener import Listener
 from .local_errors import errno_name
 from .logs import LOG, log_event, log_warning
@@ -85,9 +85,7 @@
         self.uniform = Random(config.seed).random
         self.router = Router(config.terms, config.seed, config.rank)
         self.guard = Guard(self.clock, self.count, self.is_open, self.router, config.stop_sending_timeout)
-        self.servers, self.entries = {}, {}  # by name: the router's objects; the latest list entries
-        self.owners = AddressOwners()
-        self.superseded = set()  # names of servers at whose addresses later ones are
+        self.listed_servers = ListedServers(self)
         self.active_requests, self.attempts = SlotTable(), SlotTable()
         self.ids = set()  # Req-Ids of the active requests
         self.recent_ids = RecentIds(self.clock)  # of those that may have run and must not run again
@@ -688,18 +686,9 @@
 
     def listed(self, whole, entries):
         """Apply a list of discovery, or changes to one."""
-        now, rows = self.clock(), self.rows(whole, entries)
+        now, rows = self.clock(), self.listed_servers.rows(whole, entries)
         (self.router.list_replaced if whole else self.router.list_changed)(now, rows)
-        for server in [
-            server for server in self.servers.values() if server.name not in self.router.servers_by_name
-        ]:
-            # The router has forgotten it, so none of its hops is in flight. Without this, memory would grow
-            # with every server there ever was.
-            del self.servers[server.name]
-            self.entries.pop(server.name, None)
-            self.starts.forget(server.name)
-            self.owners.forget(server.name)
-            self.caches.forget(server)
+        self.listed_servers.forget_dropped()
         self.guard.update_servers(self.servers.values() if whole else [row[0] for row in rows])
         self.caches.tidy()
         log_event('list', whole=whole, entries=len(rows), caches=len(self.router.caches))
@@ -708,40 +697,17 @@
 
     def remember(self, entries):
         """Apply the list that was stored before the start."""
-        self.router.list_remembered(self.clock(), self.rows(True, entries))
+        self.router.list_remembered(self.clock(), self.listed_servers.rows(True, entries))
 
-    def rows(self, whole, entries):
-        """Return list entries as the rows that the router takes, and record them.
+    @property
+    def servers(self):
+        """The router's servers by name."""
+        return self.listed_servers.servers
 
-        A server at whose address a later one is listed counts as draining: what is sent there would reach the
-        other one.
-        """
-        rows = {entry.name: self.entry(entry) for entry in entries}
-        for name in set(self.entries) - set(rows) if whole else ():
-            self.owners.forget(name)
-        before, self.superseded = self.superseded, self.owners.superseded()
-        for name in before ^ self.superseded:
-            if name not in rows and name in self.entries and not whole:
-                rows[name] = self.entry(self.entries[name])
-        return [
-            (row[0], 'draining', *row[2:]) if name in self.superseded and row[1] == 'ready' else row
-            for name, row in rows.items()
-        ]
-
-    def entry(self, entry):
-        """Return a list entry as the row that the router takes, and record it."""
-        server = self.servers.get(entry.name)
-        if server is None:
-            server = self.servers[entry.name] = Server(entry.name, entry.kind == self.config.origin_kind)
-        self.caches.listed(server, entry.address, entry.started)
-        self.entries[entry.name] = entry
-        if entry.state == 'gone':
-            self.owners.forget(entry.name)
-        else:
-            self.owners.update(entry.name, entry.address, entry.started)
-        zone = self.config.zones.get(entry.zone, entry.zone)  # one missing in the settings matches no other
-        start = self.starts.start_of(entry, self.clock(), self.discovery.last_line_at)
-        return (server, entry.state, entry.weight, start, zone, entry.cell)
+    @property
+    def entries(self):
+        """The latest list entries by name."""
+        return self.listed_servers.entries
 
     def list_lost(self):
         """Handle the end of the watch on discovery."""
