Connections that are being opened hold nothing: a review of memory failed on them

Found by reading, before the landing: holdings() of a connection to a server that is still being opened raised, so that a line of figures, or the check of overdue clients, failed and was not repeated. The new test raised so before.

--- a/lilacdyke/net/client.py
+++ b/lilacdyke/net/client.py
@@ -124,11 +124,13 @@
 
         Guards against a client that sends faster than it is answered, and against many that stop half way.
         """
+        if self.phase is None:
+            return  # the connection has ended, and is charged nothing any more
         memory = self.listener.memory
         memory.update(self)
         if self.reader.has_tiny_chunks:
             self.transport.bufferSize = http.TINY_CHUNKS_READ_SIZE
-        if self.upload or self.phase in (CLOSING, None):
+        if self.upload or self.phase == CLOSING:
             return  # bodies.py and discard() decide
         if self.busy and len(self.reader.buffer) > MAX_READ_AHEAD:
             self.input_paused = True
--- a/lilacdyke/net/links.py
+++ b/lilacdyke/net/links.py
@@ -125,7 +125,8 @@
     def holdings(self):
         """Return the bytes held as (input, messages, output)."""
         message = self.reader.message
-        return len(self.reader.buffer), message.size if message else 0, buffered_bytes(self.transport)
+        output = buffered_bytes(self.transport) if self.transport else 0  # none while it is being opened
+        return len(self.reader.buffer), message.size if message else 0, output
 
     def update_memory(self):
         """Charge the memory budget, unless this connection has ended."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -109,3 +109,12 @@
         for connection in list(made.listener.table):
             connection.connectionLost()
         self.assertEqual((made.memory.total, len(made.memory.paused)), (0, 0))
+
+    def test_connections_that_are_being_opened_hold_nothing(self):
+        """Guards against a review, or a line of figures, that fails on them and is not repeated."""
+        made, _ = self.fill()
+        made.memory.resize(64 * MEGABYTE, 496)
+        asked(made)  # its connection to a server is being opened
+        made.memory.resize(0, 496)
+        made.listener.review_memory()
+        self.assertEqual((made.caches.open, made.figures.held()['held_answers']), (1, 0))
