--- a/lilacdyke/net/links.py
+++ b/lilacdyke/net/links.py
@@ -11,6 +11,7 @@
 from .http import ANSWER, BadMessage, Reader, request
 from .sockets import Outgoing, buffered_bytes, no_delay, nothing_unread, send_now
 
+LONG_PART = 4_096  # bytes of an answer of unknown length from which it is likely to be a large one
 MAX_PIECE_GAP = 1_000  # ticks since its last piece for which an answer counts as arriving
 
 
@@ -244,6 +245,21 @@
         """
         if not self.has_partial_answer or self.last_piece - self.first_piece < spread:
             return False
+        return self.is_alive(now)
+
+    def holds_long_part(self, now, age):
+        """Return whether so much of a partial answer has come, `age` ticks ago or more, that it is likely to
+        be a large one, and its server has not stalled.
+        """
+        return (
+            self.has_partial_answer
+            and len(self.reader.message.body) >= LONG_PART
+            and now >= self.first_piece + age
+            and self.is_alive(now)
+        )
+
+    def is_alive(self, now):
+        """Return whether the server has sent something recently, or has data unread."""
         return now < self.last_piece + STALL_TIMEOUT or not nothing_unread(self.transport)
 
     def is_arriving(self, now):
--- a/lilacdyke/net/partial_answers.py
+++ b/lilacdyke/net/partial_answers.py
@@ -80,13 +80,18 @@
         return None
 
     def progressing(self, active):
-        """Return the connections on which an answer to this request has been arriving for some time.
+        """Return the connections on which an answer to this request has been arriving for some time, or of
+        which a long part has arrived.
 
-        An answer that stalled after its first piece is more likely to fail than to be large, so it stays
+        A short answer that stalled after its first piece is more likely to fail than to be large, so it stays
         buffered for a retry or a refusal.
         """
         now, spread = self.node.clock(), active.wait // PROGRESS_FRACTION
-        return [link for link in self.links(active) if link.still_receiving(now, spread)]
+        return [
+            link
+            for link in self.links(active)
+            if link.still_receiving(now, spread) or link.holds_long_part(now, MIN_ANSWER_AGE)
+        ]
 
     def arriving(self, active):
         """Return the connections on which an answer to this request arrives now."""
